Preemption in a module of its own: whom nobody can make room for is told before machines are searched

Cause: on a full cluster every waiting task was tried against every machine ten times a second, though nothing of a lower rank ran. Now jobs are looked at once, by rank and guarantee first, and the search takes a bounded share of the time.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -242,6 +242,12 @@
 /** Weight of the newest run in a class's ratio of run time to estimate: follows a day's bias within some ten tasks. */
 export const RATIO_WEIGHT = 0.05;
 
+/**
+ * Share of the time that a search of the whole cluster (plan, preemption) may take: whoever needs long looks more rarely,
+ * so that reports and submissions always find the processor free.
+ */
+export const WORK_SHARE = 0.25;
+
 /** ms between two preemption rounds: the exits of the last must have been seen. */
 export const PREEMPT_PERIOD_MS = 200;
 
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -6,9 +6,7 @@
   RENT_PERIOD_MS,
   SELF_SUSPECT_SHARE,
   CATALOG_PERIOD_MS,
-  COLD_COST,
   STATUS_PERIOD_MS,
-  STOPPING_MS,
   MAX_RENT_AT_ONCE,
   MAX_RESERVE_AT_ONCE,
   RENT_ROUNDS,
@@ -16,22 +14,22 @@
 } from '../constants.js';
 import type { Settings, Team } from '../config/settings.js';
 import { decodeCatalog, type CloudClient, type Hire, type ListedMachine } from '../cloud/client.js';
-import type { Book, Place } from '../ledger/book.js';
-import { freeShard, stopShard } from '../ledger/edits.js';
-import { flavorKey, hiresKey, RANKS, shardName, type JobSpec, type TeamRecord } from '../ledger/records.js';
-import { allowedOn, fits, takeRoom, zoneAllows, zonesOf, type Room } from '../ledger/rules.js';
+import type { Book } from '../ledger/book.js';
+import { freeShard } from '../ledger/edits.js';
+import { flavorKey, hiresKey } from '../ledger/records.js';
+import { zoneAllows, zonesOf } from '../ledger/rules.js';
 import type { Clock } from '../net/clock.js';
 import { Priority } from '../net/token-bucket.js';
-import { guaranteeOf, isBorrowed, isOwed } from '../placement/queue.js';
 import { belowReserve, bootLimitMs, decideRentals, type Need, type Offer, type Wanted } from '../placement/renting.js';
 import type { Committer } from '../state/committer.js';
 import type { Peers } from '../mesh/peers.js';
 import { silenceLimitMs } from '../workers/worker.js';
-import { attemptOf } from '../workers/reconcile.js';
 import { LEADER, partRole, type Claims } from './claims.js';
 import type { Fleet, MachineInfo } from './fleet.js';
 import type { Log } from './log.js';
 import type { Planner, Waiting } from './planner.js';
+import { Preempter } from './preempter.js';
+import { Stopper } from './stopper.js';
 
 /** A rental as it is kept: written before the request is sent, so that no leader asks twice for one need. */
 interface HireRecord extends Hire {
@@ -51,11 +49,10 @@
   private readonly noCapacity = new Map<string, number>();
   private readonly idleSince = new Map<string, number>();
   private readonly returning = new Set<string>();
-  /** Attempts that were told to stop, and when. */
-  private readonly stoppedAt = new Map<string, number>();
+  private readonly stopper: Stopper;
+  private readonly preempter: Preempter;
   private sequence = 0;
   private catalogAt = -Infinity;
-  private lastPreempt = -Infinity;
 
   constructor(
     private readonly settings: Settings,
@@ -70,6 +67,8 @@
     private readonly log: Log,
   ) {
     this.teams = new Map(settings.cluster.teams.map((team) => [team.name, team]));
+    this.stopper = new Stopper(claims, book, committer, clock, log);
+    this.preempter = new Preempter(settings, book, fleet, planner, this.stopper, clock);
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -81,7 +80,7 @@
         for (let round = 0; round < RENT_ROUNDS && (await this.rent()); round++);
       }),
       this.every(RENT_PERIOD_MS / 4, signal, () => this.tend()),
-      this.every(PREEMPT_PERIOD_MS / 2, signal, () => this.preempt()),
+      this.every(PREEMPT_PERIOD_MS / 2, signal, () => this.preempter.round()),
       this.every(STATUS_PERIOD_MS, signal, () => this.status()),
     ]);
   }
@@ -427,152 +426,16 @@
       if (machine.warnedUntil === null) continue;
       for (const place of [...this.book.placesOn(machine.host)]) {
         const spec = this.book.jobs.get(place.ref)?.record.spec;
-        if (spec === undefined || this.isStopping(place) || (spec.Shape === 'array' && spec.SnapshotEveryS === 0))
+        if (
+          spec === undefined ||
+          this.stopper.isStopping(place) ||
+          (spec.Shape === 'array' && spec.SnapshotEveryS === 0)
+        )
           continue;
         const left = (machine.warnedUntil - now) / 1000;
-        this.stop(place, spec, left > spec.SnapshotS ? spec.SnapshotS : 0, 'notice');
-      }
-    }
-  }
-
-  private isStopping(place: Place): boolean {
-    const since = this.stoppedAt.get(attemptOf(place));
-    return place.slot.stop !== null || (since !== undefined && this.clock.now() - since < STOPPING_MS);
-  }
-
-  private stop(place: Place, spec: JobSpec, grace: number, why: string): void {
-    const { ref } = place;
-    // A gang stops whole: every member must be told within `gang_peer_s` of the first.
-    const places: Place[] = [];
-    if (spec.Shape === 'ensemble') {
-      for (const [shard, slot] of this.book.jobs.get(ref)?.known() ?? []) {
-        if (slot.kind === 'placed' && slot.attempt === place.slot.attempt) places.push({ ref, shard, slot });
-      }
-    } else places.push(place);
-    const now = this.clock.now();
-    for (const [key, at] of this.stoppedAt) if (now - at > STOPPING_MS) this.stoppedAt.delete(key);
-    for (const each of places) this.stoppedAt.set(attemptOf(each), now);
-    this.log.info({ job: ref, machine: place.slot.host, shards: places.length, grace, why }, 'stop');
-    void this.committer.commit('stop', Priority.start, (draft) => {
-      if (!this.claims.require(draft, LEADER)) return false;
-      let marked = false;
-      for (const each of places) {
-        if (stopShard(draft, ref, each.shard, each.slot.host, each.slot.attempt, grace)) marked = true;
-      }
-      return marked;
-    });
-  }
-
-  /** Makes room for waiting work of a higher rank by stopping work of lower ranks, where it costs least. */
-  private preempt(): void {
-    const now = this.clock.now();
-    if (now - this.lastPreempt < PREEMPT_PERIOD_MS) return;
-    const uses = this.planner.uses();
-    const demands = this.demands();
-    const waiting = this.planner.unplaced.filter(
-      ({ view, slot }) => slot.fails < 2 && (view.record.spec.Rank !== 'low' || this.isOwed(view.record.spec, demands)),
-    );
-    if (waiting.length === 0) return;
-    const machines = [...this.fleet.all().values()].filter((machine) => this.fleet.isOpen(machine));
-    const rooms = this.planner.rooms(machines);
-    // Room that stopping tasks will leave counts as free: it is on its way.
-    for (const machine of machines) {
-      for (const place of this.book.placesOn(machine.host)) {
-        const spec = this.book.jobs.get(place.ref)?.record.spec;
-        if (spec !== undefined && this.isStopping(place)) takeRoom(rooms.get(machine.host)!, spec, -1);
-      }
-    }
-    const zones = new Map<string, Map<string, number>>();
-    const stopped = new Set<string>();
-    for (const { view } of waiting) {
-      const { spec } = view.record;
-      let taken = zones.get(view.ref);
-      if (taken === undefined) {
-        taken = zonesOf([...view.known()].map(([, slot]) => slot));
-        zones.set(view.ref, taken);
-      }
-      const best = this.cheapest(spec, machines, rooms, taken, stopped, this.isOwed(spec, demands) ? uses : undefined);
-      if (best === undefined) continue;
-      for (const place of best.victims) {
-        const victim = this.book.jobs.get(place.ref)!.record.spec;
-        stopped.add(shardName(place.ref, place.shard));
-        takeRoom(rooms.get(best.machine.host)!, victim, -1);
-        const use = uses.get(victim.Owner);
-        if (use !== undefined) {
-          use.cpus -= victim.Cpus;
-          use.cards -= victim.Cards;
-        }
-        this.stop(place, victim, spec.Rank === 'prod' ? 0 : victim.SnapshotS, `room for ${view.ref}`);
-      }
-      takeRoom(rooms.get(best.machine.host)!, spec);
-      taken.set(best.machine.site, (taken.get(best.machine.site) ?? 0) + 1);
-      this.lastPreempt = now;
-    }
-  }
-
-  /** What all unfinished jobs of each team ask for together. */
-  private demands(): Map<string, TeamRecord> {
-    const demands = new Map<string, TeamRecord>();
-    for (const view of this.book.jobs.values()) {
-      const { spec, phase } = view.record;
-      const open = phase === 'active' ? spec.Shards - view.done : view.placed;
-      const sum = demands.get(spec.Owner) ?? { cpus: 0, cards: 0 };
-      demands.set(spec.Owner, { cpus: sum.cpus + open * spec.Cpus, cards: sum.cards + open * spec.Cards });
-    }
-    return demands;
-  }
-
-  /** Is the job's team owed room for it? */
-  private isOwed(spec: JobSpec, demands: ReadonlyMap<string, TeamRecord>): boolean {
-    const team = this.teams.get(spec.Owner);
-    const demand = demands.get(spec.Owner);
-    return team !== undefined && demand !== undefined && isOwed(team, demand, spec);
-  }
-
-  /** For a team's guarantee, work of any rank may be stopped that another team runs beyond its own. */
-  private mayReclaim(spec: JobSpec, victim: JobSpec, uses: ReadonlyMap<string, TeamRecord> | undefined): boolean {
-    const owner = this.teams.get(spec.Owner);
-    const team = this.teams.get(victim.Owner);
-    const use = uses?.get(victim.Owner);
-    const kind = owner === undefined ? undefined : guaranteeOf(owner, spec);
-    if (kind === undefined || team === undefined || use === undefined || victim.Owner === spec.Owner) return false;
-    return isBorrowed(team, use, victim, kind);
-  }
-
-  private cheapest(
-    spec: JobSpec,
-    machines: readonly MachineInfo[],
-    rooms: ReadonlyMap<string, Room>,
-    zones: ReadonlyMap<string, number>,
-    stopped: ReadonlySet<string>,
-    borrowed: ReadonlyMap<string, TeamRecord> | undefined,
-  ): { machine: MachineInfo; victims: Place[] } | undefined {
-    let best: { machine: MachineInfo; victims: Place[]; cost: number } | undefined;
-    for (const machine of machines) {
-      if (!allowedOn(spec, machine) || !zoneAllows(spec, zones, machine.site)) continue;
-      const room = { ...rooms.get(machine.host)! };
-      const victims: Place[] = [];
-      let cost = machine.images.includes(spec.Bundle) ? 0 : COLD_COST;
-      const lower = [...this.book.placesOn(machine.host)]
-        .map((place) => ({ place, spec: this.book.jobs.get(place.ref)?.record.spec }))
-        .filter(
-          (each): each is { place: Place; spec: JobSpec } =>
-            each.spec !== undefined &&
-            !this.isStopping(each.place) &&
-            !stopped.has(shardName(each.place.ref, each.place.shard)) &&
-            (RANKS.indexOf(each.spec.Rank) > RANKS.indexOf(spec.Rank) || this.mayReclaim(spec, each.spec, borrowed)),
-        )
-        .sort((a, b) => RANKS.indexOf(b.spec.Rank) - RANKS.indexOf(a.spec.Rank) || a.spec.GuessS - b.spec.GuessS);
-      for (const each of lower) {
-        if (fits(spec, room)) break;
-        victims.push(each.place);
-        takeRoom(room, each.spec, -1);
-        cost += (RANKS.length - RANKS.indexOf(each.spec.Rank)) * (each.spec.SnapshotEveryS > 0 ? 1 : 2);
+        this.stopper.stop(place, spec, left > spec.SnapshotS ? spec.SnapshotS : 0, 'notice');
       }
-      if (!fits(spec, room)) continue;
-      if (best === undefined || cost < best.cost) best = { machine, victims, cost };
     }
-    return best;
   }
 }
 
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -146,7 +146,8 @@
           continue;
         }
         const doors = new Map<string, (body: unknown) => Reply | undefined | Promise<Reply>>();
-        for (const name of ['n0', 'n1', 'n2'].slice(0, this.options.nodes ?? 1)) {
+        for (let index = 0; index < (this.options.nodes ?? 1); index++) {
+          const name = `n${index}`;
           const node = this.nodes.get(name);
           doors.set(name, (body) =>
             this.unreachable.has(`${host}>${name}`) ? undefined : node?.controller.hello(body),
