Gossip passes on only what a peer can't hear itself

A node now says whom it hears, and is told of others' machines only where it doesn't hear their owner.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -187,7 +187,7 @@
       this.settings,
       this.clock,
       this.log,
-      () => this.gossip(),
+      (node) => this.gossip(node),
       (message) => this.receive(message),
     );
     this.send = (node, message) => mesh.send(node, message);
@@ -250,7 +250,7 @@
     this.gossiping = true;
     void this.clock.sleep(GOSSIP_SOON_MS).then(() => {
       this.gossiping = false;
-      for (const { node } of this.settings.peers) this.send(node, { gossip: this.gossip() });
+      for (const { node } of this.settings.peers) this.send(node, { gossip: this.gossip(node) });
     });
   }
 
@@ -397,7 +397,8 @@
     }
   }
 
-  gossip(): Gossip {
+  /** What this node has to tell one peer. */
+  gossip(to: string): Gossip {
     const now = this.clock.now();
     if (this.loadedAt === undefined && this.replica.loaded) this.loadedAt = now;
     return {
@@ -405,14 +406,15 @@
       upMs: this.loadedAt === undefined ? 0 : now - this.loadedAt,
       freshAgeMs: Math.min(now - this.replica.freshAt, 1e12),
       withoutStore: this.withoutStore,
-      machines: this.machineNews(now),
+      hears: this.peers.heard(),
+      machines: this.machineNews(now, to),
       knocks: [...[...this.owner.knocks].map(([host, at]) => ({ host, ageMs: now - at })), ...this.peers.knocksHeard()],
       avoids: this.claims.avoided(),
       gone: this.fleet.lately(),
     };
   }
 
-  private machineNews(now: number): MachineNews[] {
+  private machineNews(now: number, to: string): MachineNews[] {
     const tell = ({ heardAt, warnedUntil, ...rest }: MachineInfo, knownAt: number): MachineNews => ({
       ...rest,
       heardAgeMs: now - heardAt,
@@ -421,7 +423,9 @@
     });
     // A node that must not answer its workers knows nothing of them either.
     const own = this.fleet.own().filter(({ host }) => this.claims.mayAnswer(this.owner.roleOf(host)) !== undefined);
-    const others = [...this.fleet.passOn()].map(({ machine, knownAt }) => tell(machine, knownAt));
+    // A whole copy from everybody to everybody grows with machines and nodes; only what a peer can't hear itself goes round.
+    const passed = this.fleet.passOn((owner) => owner !== to && !this.peers.hears(to, owner));
+    const others = [...passed].map(({ machine, knownAt }) => tell(machine, knownAt));
     return [...own.map((machine) => tell(machine, now)), ...others];
   }
 
--- a/src/controller/fleet.ts
+++ b/src/controller/fleet.ts
@@ -71,11 +71,11 @@
   }
 
   /** What others have said lately, to be passed on: a cut between two nodes is got round by way of the third. */
-  *passOn(): Iterable<{ machine: MachineInfo; knownAt: number }> {
+  *passOn(wanted: (owner: string) => boolean): Iterable<{ machine: MachineInfo; knownAt: number }> {
     for (const [host, machine] of this.told) {
       const knownAt = this.knownAt.get(host)!;
       const lately = this.clock.now() - knownAt < GOSSIP_STALE_MS;
-      if (lately && !this.owner.workers.has(host)) yield { machine, knownAt };
+      if (lately && wanted(machine.owner) && !this.owner.workers.has(host)) yield { machine, knownAt };
     }
   }
 
--- a/src/controller/preempter.ts
+++ b/src/controller/preempter.ts
@@ -91,7 +91,7 @@
     for (const field of fields) look(field);
     if (options.size === 0) hopeless.add(signature);
     let any = false;
-    for (const _ of waiting) {
+    for (let count = 0; count < waiting.length; count++) {
       let best: Option<MachineField> | undefined;
       for (const option of options.values()) {
         if (best !== undefined && option.cost >= best.cost) continue;
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -14,7 +14,7 @@
     private readonly settings: Settings,
     private readonly clock: Clock,
     private readonly log: Log,
-    private readonly compose: () => Gossip,
+    private readonly compose: (node: string) => Gossip,
     private readonly receive: (message: Message) => void,
   ) {}
 
@@ -78,7 +78,7 @@
           socket.destroy();
           break;
         }
-        if (!socket.connecting) socket.write(frame(encodeMessage({ gossip: this.compose() })));
+        if (!socket.connecting) socket.write(frame(encodeMessage({ gossip: this.compose(node) })));
         await this.clock.sleep(socket.connecting ? GOSSIP_MS / 10 : GOSSIP_MS, either);
       }
       clearTimeout(connecting);
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -9,6 +9,8 @@
   freshAgeMs: number;
   /** The store refuses, or doesn't answer, this node. */
   withoutStore: boolean;
+  /** Nodes that the sender hears just now: what they own need not be passed on to it. */
+  hears: string[];
   machines: MachineNews[];
   /** Workers that asked, here or at a node heard of, though another node owns them. */
   knocks: { host: string; ageMs: number }[];
@@ -47,6 +49,7 @@
     { name: 'upMs', type: 'double' },
     { name: 'freshAgeMs', type: 'double' },
     { name: 'withoutStore', type: 'boolean' },
+    { name: 'hears', type: { type: 'array', items: 'string' } },
     {
       name: 'machines',
       type: {
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -34,6 +34,16 @@
     return word !== undefined && this.clock.now() - word.heardAt < PEER_WORD_MS ? word : undefined;
   }
 
+  /** The nodes heard just now. */
+  heard(): string[] {
+    return this.nodes.filter((node) => this.fresh(node) !== undefined);
+  }
+
+  /** Does that peer say that it hears the other node itself? */
+  hears(peer: string, other: string): boolean {
+    return this.fresh(peer)?.gossip.hears.includes(other) === true;
+  }
+
   hasStore(node: string): boolean {
     const word = this.fresh(node);
     return word !== undefined && this.clock.now() - word.freshAt < FRESH_MS * 2;
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -156,7 +156,7 @@
         void worker.tell(doors);
       }
       for (const [from, { controller }] of this.nodes) {
-        for (const to of this.nodes.keys()) if (from !== to) this.carry(from, to, { gossip: controller.gossip() });
+        for (const to of this.nodes.keys()) if (from !== to) this.carry(from, to, { gossip: controller.gossip(to) });
       }
     }
   }
