A transaction is packed without trying the whole queue, and without copies

Cause (from reading): each intent tried forked the draft and serialised all its writes again, over the whole queue, for every transaction. Drafts now lie over each other and know their sizes; a full transaction stops the trying. Submissions are refused by what waits before them, no longer by waiting batch work.

--- a/src/api/jobs.ts
+++ b/src/api/jobs.ts
@@ -73,7 +73,7 @@
     const why = whyNever(spec, this.teams.get(spec.Owner), this.fleet.catalog.values()) ?? this.whyTooLarge(spec);
     if (why !== undefined) return this.ifKnown(spec.Ref, { status: 422, body: { error: why } });
     // Over budget: told at once, with the time until the writers before this one are through.
-    const behindS = this.committer.backlog / this.settings.cluster.state.write_rps;
+    const behindS = this.committer.backlog(Priority.accept) / this.settings.cluster.state.write_rps;
     if (behindS > 1) return { status: 429, body: { error: 'busy' }, retryAfter: Math.min(30, Math.ceil(behindS)) };
     const record: JobRecord = { spec, phase: 'active', at: Math.round(this.clock.wall()), chunk: this.chunk };
     const outcome = await this.committer.commit(
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -120,6 +120,12 @@
 /** Urgent transactions of one priority on their way at once: one may hang without keeping the next waiting. */
 export const MAX_FLIGHTS = 2;
 
+/** Intents that no longer fit, after which a transaction counts as full. */
+export const PACK_MISSES = 4;
+
+/** Intents tried for one transaction at most: bounds the processor time of one turn. */
+export const PACK_TRIES = 200;
+
 /** ms between two runs of the planner when nothing happens. */
 export const PLAN_TICK_MS = 500;
 
--- a/src/state/committer.ts
+++ b/src/state/committer.ts
@@ -1,4 +1,4 @@
-import { FINAL_CACHE, MAX_FLIGHTS, MAX_INTENTS } from '../constants.js';
+import { FINAL_CACHE, MAX_FLIGHTS, MAX_INTENTS, PACK_MISSES, PACK_TRIES } from '../constants.js';
 import type { Settings } from '../config/settings.js';
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
@@ -20,16 +20,33 @@
   bytes: 60_000,
 });
 
-/** A transaction under construction: every record that a decision reads becomes a condition. */
+const bytesOf = (key: string, value: unknown): number => key.length + 40 + (JSON.stringify(value)?.length ?? 0);
+const CONDITION_BYTES = 30;
+
+/**
+ * A transaction under construction: every record that a decision reads becomes a condition. A draft over another sees that
+ * one's writes; it is merged into it if it is kept, so that trying one more decision costs no more than its own records.
+ */
 export class Draft {
   readonly conditions = new Map<string, number>();
   readonly writes = new Map<string, unknown>();
   latch: number | undefined;
+  private readonly sizes = new Map<string, number>();
+  private bytes = 0;
 
-  constructor(private readonly read: (key: string) => Stored) {}
+  constructor(
+    private readonly read: (key: string) => Stored,
+    private readonly below?: Draft,
+  ) {}
+
+  /** The draft that this one sees below itself, down to the records, or the one that has written the key already. */
+  private writer(key: string): Draft | undefined {
+    return this.writes.has(key) ? this : this.below?.writer(key);
+  }
 
   get(key: string): unknown {
-    if (this.writes.has(key)) return this.writes.get(key);
+    const writer = this.writer(key);
+    if (writer !== undefined) return writer.writes.get(key);
     const row = this.read(key);
     this.conditions.set(key, row.stamp);
     return row.value;
@@ -37,7 +54,8 @@
 
   /** Reads without making it a condition: only for what can't change any more. */
   peek(key: string): unknown {
-    return this.writes.has(key) ? this.writes.get(key) : this.read(key).value;
+    const writer = this.writer(key);
+    return writer !== undefined ? writer.writes.get(key) : this.read(key).value;
   }
 
   set(key: string, value: unknown): void {
@@ -49,20 +67,39 @@
     this.set(key, undefined);
   }
 
-  fork(): Draft {
-    const copy = new Draft(this.read);
-    for (const [key, stamp] of this.conditions) copy.conditions.set(key, stamp);
-    for (const [key, value] of this.writes) copy.writes.set(key, value);
-    copy.latch = this.latch;
-    return copy;
+  over(): Draft {
+    return new Draft(this.read, this);
   }
 
+  /** Would this draft, merged into the one below it, still be one transaction? */
   fits(limits: TxnLimits): boolean {
-    if (this.writes.size > limits.ops || this.conditions.size > limits.conditions) return false;
-    let bytes = 0;
-    for (const [key, value] of this.writes) bytes += key.length + 40 + (JSON.stringify(value)?.length ?? 0);
-    for (const key of this.conditions.keys()) bytes += key.length + 30;
-    return bytes <= limits.bytes;
+    const { below } = this;
+    let writes = below?.writes.size ?? 0;
+    let conditions = below?.conditions.size ?? 0;
+    let bytes = below?.bytes ?? 0;
+    for (const [key, value] of this.writes) {
+      const size = bytesOf(key, value);
+      this.sizes.set(key, size);
+      const old = below?.sizes.get(key);
+      if (old === undefined) writes++;
+      bytes += size - (old ?? 0);
+    }
+    for (const key of this.conditions.keys()) {
+      if (below?.conditions.has(key) === true) continue;
+      conditions++;
+      bytes += key.length + CONDITION_BYTES;
+    }
+    this.bytes = bytes;
+    return writes <= limits.ops && conditions <= limits.conditions && bytes <= limits.bytes;
+  }
+
+  /** Takes in a draft over this one, whose `fits` has been asked. */
+  merge(above: Draft): void {
+    for (const [key, stamp] of above.conditions) if (!this.conditions.has(key)) this.conditions.set(key, stamp);
+    for (const [key, value] of above.writes) this.writes.set(key, value);
+    for (const [key, size] of above.sizes) this.sizes.set(key, size);
+    this.bytes = above.bytes;
+    this.latch = above.latch ?? this.latch;
   }
 }
 
@@ -89,7 +126,7 @@
 
 /** Turns intents into few, batched transactions, and tries again after conflicts, refusals and silence. */
 export class Committer {
-  private queue: Intent[] = [];
+  private readonly queues = new Map<Priority, Intent[]>(Object.values(Priority).map((each) => [each, []]));
   private readonly flights = new Map<Priority, number>();
   private readonly locked = new Set<string>();
   private readonly finals = new Map<string, Stored>();
@@ -105,8 +142,11 @@
     private readonly random: Random,
   ) {}
 
-  get backlog(): number {
-    return this.queue.length;
+  /** Intents that go before whatever has a higher number. */
+  backlog(upTo: Priority): number {
+    let count = 0;
+    for (const [priority, queue] of this.queues) if (priority <= upTo) count += queue.length;
+    return count;
   }
 
   /** Records outside the replica never change once they exist (final states), so they may be kept. */
@@ -121,12 +161,10 @@
     key.startsWith(this.prefix) ? this.replica.get(key) : (this.finals.get(key) ?? { value: undefined, stamp: 0 });
 
   commit(name: string, priority: Priority, decide: Decide, timeoutMs = 60_000): Promise<Outcome> {
-    if (this.queue.length >= MAX_INTENTS) return Promise.resolve({ kind: 'expired' });
+    const queue = this.queues.get(priority)!;
+    if (queue.length >= MAX_INTENTS) return Promise.resolve({ kind: 'expired' });
     return new Promise((resolve) => {
-      const intent = { name, priority, decide, deadline: this.clock.now() + timeoutMs, resolve };
-      let at = this.queue.length;
-      while (at > 0 && this.queue[at - 1]!.priority > priority) at--;
-      this.queue.splice(at, 0, intent);
+      queue.push({ name, priority, decide, deadline: this.clock.now() + timeoutMs, resolve });
       this.wake();
     });
   }
@@ -143,11 +181,11 @@
   private launch(): void {
     if (this.clock.now() < this.pausedUntil) return;
     // Each priority has flights of its own: batch starts that wait for the write rate must not keep submissions waiting.
-    for (const priority of new Set(this.queue.map((intent) => intent.priority))) {
+    for (const [priority, queue] of this.queues) {
       // What may wait shares transactions: each costs a change for the team's record, and the rate of changes is small.
       const most = priority <= Priority.accept ? MAX_FLIGHTS : 1;
-      while ((this.flights.get(priority) ?? 0) < most) {
-        const packed = this.pack(priority);
+      while (queue.length > 0 && (this.flights.get(priority) ?? 0) < most) {
+        const packed = this.pack(queue);
         if (packed === undefined) break;
         void this.fly(packed.batch, packed.draft);
       }
@@ -155,22 +193,26 @@
   }
 
   /** Takes as many intents of one priority off the queue as one transaction holds. */
-  private pack(priority: Priority): { batch: Intent[]; draft: Draft } | undefined {
+  private pack(queue: Intent[]): { batch: Intent[]; draft: Draft } | undefined {
     const now = this.clock.now();
     const batch: Intent[] = [];
-    let draft = new Draft(this.read);
+    const draft = new Draft(this.read);
     const later: Intent[] = [];
     const touched = new Set<string>();
-    for (const intent of this.queue) {
+    let tried = 0;
+    let full = 0;
+    for (const intent of queue) {
       if (now >= intent.deadline) {
         intent.resolve({ kind: 'expired' });
         continue;
       }
-      if (intent.priority !== priority) {
+      // A long queue is not tried whole for each transaction: that would cost its length squared.
+      if (full >= PACK_MISSES || tried >= PACK_TRIES) {
         later.push(intent);
         continue;
       }
-      const trial = draft.fork();
+      tried++;
+      const trial = draft.over();
       if (!this.attempt(intent, trial)) {
         intent.resolve({ kind: 'void' });
         continue;
@@ -178,16 +220,19 @@
       // A key being written by another flight, or by an intent that waits for one, keeps this intent waiting.
       const blocked = [...trial.conditions.keys()].some((key) => this.locked.has(key) || touched.has(key));
       if (!blocked && trial.fits(this.limits)) {
-        draft = trial;
+        draft.merge(trial);
         batch.push(intent);
       } else if (!blocked && batch.length === 0) {
         intent.resolve({ kind: 'void' });
       } else {
-        if (blocked) for (const key of trial.writes.keys()) if (!draft.writes.has(key)) touched.add(key);
+        if (blocked)
+          for (const key of trial.writes.keys())
+            if (!draft.writes.has(key)) touched.add(key);
+            else full++;
         later.push(intent);
       }
     }
-    this.queue = later;
+    queue.splice(0, queue.length, ...later);
     return batch.length === 0 ? undefined : { batch, draft };
   }
 
@@ -254,7 +299,6 @@
   }
 
   private again(batch: Intent[]): void {
-    const at = this.queue.findIndex((intent) => intent.priority >= batch[0]!.priority);
-    this.queue.splice(at < 0 ? this.queue.length : at, 0, ...batch);
+    this.queues.get(batch[0]!.priority)!.unshift(...batch);
   }
 }
