Late copies of reports, mute machines, and an owner surpassed without knowing it

- A report with a higher token than the owner's own is turned away at once: a 200 would be dropped, and keep the worker here while its lease runs out (a node cut off from store and peers, but not from its workers).
- A report no newer than what was heard, here or by the owner's word, is no knock, is not relayed, and moves no lease; a machine that is gone does not come back with it.
- A machine is open to new work only while its reports show that answers reach it.
One that no answer has reached for a lease is given back, which proves its places free.
Each test fails without its guard.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -42,6 +42,12 @@
 /** ms after which a worker whose reports are relayed is sent to its owner again, to see whether the way is open. */
 export const SEND_HOME_MS = 60_000;
 
+/**
+ * ms beyond its period that a report may be late before its worker counts as one that waited for an answer in vain: above
+ * delays of a few hundred ms, below the second that it waits, after 4 s, before it tries another node.
+ */
+export const ANSWER_MISSED_MS = 1000;
+
 /** ms to wait for the owner's answer to a relayed report: the worker waits 4 s. */
 export const RELAY_TIMEOUT_MS = 2000;
 
@@ -165,6 +171,9 @@
  */
 export const ROUND_TRIP_MS = 5400;
 
+/** Workers of other nodes whose last visit is kept, to tell late copies: more than there are machines. */
+export const STRANGERS_KEPT = 2000;
+
 /** Names of returned machines kept, so that late news of them are not believed. */
 export const GONE_KEPT = 5000;
 
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -106,6 +106,8 @@
       http,
       clock,
       {
+        isGone: (host) => this.fleet.gone.has(host),
+        isLate: (report) => this.fleet.isLate(report),
         knownImages: (host) => this.fleet.known(host)?.images ?? [],
         cacheGb: (flavor) => this.fleet.catalog.get(flavor)?.localGb ?? Infinity,
         checked: (report) => this.noteChecks(report),
@@ -268,7 +270,7 @@
       const { node, id, report: text } = message.relay;
       const report = decodeReport(JSON.parse(text));
       if (report === undefined) return;
-      const { status, body } = this.owner.hello(report, true);
+      const { status, body } = this.owner.hello(report, node);
       this.send(node, { relayAnswer: { node: this.settings.node, id, status, body: JSON.stringify(body) } });
     }
   }
--- a/src/controller/fleet.ts
+++ b/src/controller/fleet.ts
@@ -1,9 +1,10 @@
-import { FORGET_MACHINE_MS, GONE_KEPT, GOSSIP_STALE_MS, SILENT_REPORTS } from '../constants.js';
+import { FORGET_MACHINE_MS, GONE_KEPT, GOSSIP_STALE_MS, SILENT_REPORTS, STRANGERS_KEPT } from '../constants.js';
 import type { Settings } from '../config/settings.js';
 import type { Clock } from '../net/clock.js';
 import type { Claims, Held } from './claims.js';
 import { partRole } from './claims.js';
 import type { Owner } from './owner.js';
+import type { Report } from '../workers/report.js';
 import type { Worker } from '../workers/worker.js';
 
 export interface Flavor {
@@ -27,6 +28,7 @@
   site: string;
   reclaimable: boolean;
   tenure: number;
+  tick: number;
   /** Steady ms, this node's clock. */
   heardAt: number;
   /** Steady ms when the cloud takes it away, or null. */
@@ -34,6 +36,8 @@
   sick: boolean;
   cooling: boolean;
   slow: boolean;
+  /** Its reports arrive, but answers have not reached it for a lease. */
+  mute: boolean;
   images: string[];
   failedJobs: string[];
   /** The node that says so, as the owner of the machine's part. */
@@ -104,11 +108,13 @@
       site: worker.site,
       reclaimable: worker.reclaimable,
       tenure: worker.tenure,
+      tick: worker.tick,
       heardAt: worker.heardAt,
       warnedUntil: worker.warnedUntil,
       sick: worker.isSick(now),
-      cooling: now < worker.coolUntil,
+      cooling: now < worker.coolUntil || !worker.isReached,
       slow: worker.isSlow(now),
+      mute: worker.isMute(now, this.settings.cluster.workers.lease_s),
       images: [...worker.images.keys()],
       failedJobs: [...worker.failedJobs],
       owner: this.settings.node,
@@ -131,6 +137,21 @@
     return this.told.get(host);
   }
 
+  /** The newest report that a stranger has seen here, for telling late copies. */
+  private readonly seen = new Map<string, { tenure: number; tick: number }>();
+
+  /** Is the report no newer than what this node, or by its word the owner, has heard? Remembers it if it is. */
+  isLate(report: Report): boolean {
+    const older = (known: { tenure: number; tick: number } | undefined) =>
+      known !== undefined &&
+      (report.tenure < known.tenure || (report.tenure === known.tenure && report.tick <= known.tick));
+    if (older(this.told.get(report.host)) || older(this.seen.get(report.host))) return true;
+    this.seen.delete(report.host);
+    this.seen.set(report.host, { tenure: report.tenure, tick: report.tick });
+    if (this.seen.size > STRANGERS_KEPT) this.seen.delete(this.seen.keys().next().value!);
+    return false;
+  }
+
   /** Forgets machines that nobody speaks of any more. */
   prune(): void {
     const now = this.clock.now();
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -362,7 +362,8 @@
       const part = this.claims.partOf(machine.host);
       const entry = perPart.get(part) ?? { silent: [], total: 0 };
       entry.total++;
-      if (now - machine.heardAt > limit && !this.knocked(machine)) entry.silent.push(machine.host);
+      // A mute machine's lease has run out, so nothing runs there any more; only its being gone proves that at once.
+      if (machine.mute || (now - machine.heardAt > limit && !this.knocked(machine))) entry.silent.push(machine.host);
       perPart.set(part, entry);
     }
     return [...perPart.values()]
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -45,6 +45,10 @@
 export interface OwnerSurroundings {
   /** A report was heard: one check of each service task on the machine. */
   checked(report: Report): void;
+  /** Has the cloud confirmed that the machine is gone? */
+  isGone(host: string): boolean;
+  /** Is a report of that session and Tick older than what anybody is known to have heard of the machine? */
+  isLate(report: Report): boolean;
   /** Images that the machine's last owner knew to be there. */
   knownImages(host: string): readonly string[];
   /** GB of images that a machine of the type keeps. */
@@ -87,17 +91,16 @@
     return now - worker.heardAt > SILENT_REPORTS * this.settings.cluster.workers.report_s * 1000;
   }
 
-  hello(report: Report, relayed = false): HelloAnswer {
+  /** Answers a report; `door` is the node that passed it on, if one did. */
+  hello(report: Report, door?: string): HelloAnswer {
+    // A late copy of a machine's that is gone: it must not bring the machine back to life.
+    if (this.events.isGone(report.host)) return { status: 421, body: {}, again: false };
     const role = this.roleOf(report.host);
     const held = this.claims.mayAnswer(role);
     const now = this.clock.now();
-    if (held === undefined) {
-      const owner = this.claims.ownerOf(role);
-      if (owner === undefined || owner === this.settings.node) return { status: 503, body: { error: 'not entitled' } };
-      const again = this.isStranded(report, role, now);
-      this.knocks.set(report.host, now);
-      return { status: 421, body: { Steward: owner }, again };
-    }
+    // A worker that has seen a higher token has a new owner, of whom a node without store and peers knows nothing. Its 200
+    // would be dropped, and would keep the worker here while its lease runs out.
+    if (held === undefined || report.fence > held.fence) return this.turnAway(report, role, now);
     let worker = this.workers.get(report.host);
     if (worker === undefined) {
       worker = new Worker(report.host);
@@ -105,11 +108,12 @@
       this.workers.set(report.host, worker);
       this.log.info({ machine: report.host, role, tenure: report.tenure, flavor: report.flavor }, 'worker heard');
     }
-    worker.answeredAt = now;
-    worker.relayed = relayed;
+    // A late copy of an older report was sent before the newest that is known: its answer makes no lease any longer.
+    if (!worker.isNewer(report)) return { status: 200, body: { Fence: held.fence, Orders: [] } };
     const newSession = report.tenure > worker.tenure && worker.tenure > 0;
     if (newSession) this.log.info({ machine: report.host, tenure: report.tenure }, 'worker began a new session');
-    if (!worker.take(report, now, true)) return { status: 200, body: { Fence: held.fence, Orders: [] } };
+    worker.noteAnswer(report, held.fence, door, this.settings.cluster.workers.report_s, now);
+    worker.take(report, now, true);
     this.noteImages(worker);
     this.events.checked(report);
     this.noteStragglers(worker);
@@ -130,6 +134,16 @@
     return { status: 200, body: { Fence: held.fence, Orders: orders } };
   }
 
+  private turnAway(report: Report, role: string, now: number): HelloAnswer {
+    const owner = this.claims.ownerOf(role);
+    if (owner === undefined || owner === this.settings.node) return { status: 503, body: { error: 'not entitled' } };
+    // Copies of reports come late, by a lease and more: they are no sign of life, and nobody waits for their answer.
+    if (this.events.isLate(report)) return { status: 421, body: { Steward: owner }, again: false };
+    const again = this.isStranded(report, role, now);
+    this.knocks.set(report.host, now);
+    return { status: 421, body: { Steward: owner }, again };
+  }
+
   /**
    * A worker that shows the present owner's fence has been with it, and is here because it can't get there. Now and then
    * it is sent home all the same, so that it does not stay once the way is open again.
@@ -291,7 +305,7 @@
     const worker = this.workers.get(host);
     if (held === undefined || worker === undefined || !this.claims.inTouch || worker.tenure === 0) return;
     // A worker that reports by way of another node is behind a cut: commands would only hang, and may arrive late.
-    if (this.isSilent(worker, this.clock.now()) || worker.relayed) return;
+    if (this.isSilent(worker, this.clock.now()) || worker.door !== undefined) return;
     if (worker.pushing) {
       worker.pushAgain = true;
       return;
@@ -317,6 +331,7 @@
       this.log.info({ machine: host, launches }, 'commands without an answer');
     } else {
       for (const key of launches) if (worker.openCommands.get(key) === held.fence) worker.openCommands.delete(key);
+      if (result.kind === 'done') worker.noteReached();
     }
     if ('report' in result && result.report?.host === host && worker.take(result.report, this.clock.now(), false)) {
       this.noteImages(worker);
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -27,6 +27,8 @@
   site: string;
   reclaimable: boolean;
   tenure: number;
+  /** Of the newest report heard: older ones are late copies. */
+  tick: number;
   heardAgeMs: number;
   /** ms since the machine's owner said this; 0 from the owner itself. */
   knownAgeMs: number;
@@ -35,6 +37,8 @@
   sick: boolean;
   cooling: boolean;
   slow: boolean;
+  /** Its reports arrive, but answers have not reached it for a lease. */
+  mute: boolean;
   images: string[];
   failedJobs: string[];
   /** The node that owns the machine's part and says so. */
@@ -64,12 +68,14 @@
             { name: 'site', type: 'string' },
             { name: 'reclaimable', type: 'boolean' },
             { name: 'tenure', type: 'long' },
+            { name: 'tick', type: 'long' },
             { name: 'heardAgeMs', type: 'double' },
             { name: 'knownAgeMs', type: 'double' },
             { name: 'warnedMs', type: ['null', 'double'] },
             { name: 'sick', type: 'boolean' },
             { name: 'cooling', type: 'boolean' },
             { name: 'slow', type: 'boolean' },
+            { name: 'mute', type: 'boolean' },
             { name: 'images', type: { type: 'array', items: 'string' } },
             { name: 'failedJobs', type: { type: 'array', items: 'string' } },
             { name: 'owner', type: 'string' },
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import type { Answer } from '../api/jobs.js';
 import { parseSettings, type Settings, type Tuning } from '../config/settings.js';
 import { DEFAULT_TUNING } from '../constants.js';
@@ -72,6 +73,8 @@
   readonly workers = new Map<string, FakeWorker>();
   /** Workers that are dead or cut off from all nodes. */
   readonly cut = new Set<string>();
+  /** Workers whose reports arrive, but which neither answers nor commands reach. */
+  readonly mute = new Set<string>();
   /** Pairs "i-000001>n1" of a worker and a node that it can't reach. */
   readonly unreachable = new Set<string>();
   /** Pairs "n0>n1" of nodes whose gossip does not arrive. */
@@ -90,6 +93,7 @@
 
   start(index: number): void {
     const stop = new AbortController();
+    setMaxListeners(0, stop.signal);
     const settings = settingsOf(index, this.options.nodes ?? 1, this.options);
     const tuning = { ...DEFAULT_TUNING, ...this.options.tuning };
     const client = this.network.client(settings.node);
@@ -116,7 +120,9 @@
     const worker = new FakeWorker(this.clock, { leaseS: 10, ...options });
     this.workers.set(options.host, worker);
     this.network.serve(worker.endpoint, (method, path, body) =>
-      this.cut.has(options.host) ? new Promise<Reply>(() => undefined) : worker.handle(method, path, body),
+      this.cut.has(options.host) || this.mute.has(options.host)
+        ? new Promise<Reply>(() => undefined)
+        : worker.handle(method, path, body),
     );
     const { flavor, site, reclaimable } = options;
     this.cloud.machines.set(options.host, {
@@ -145,13 +151,15 @@
           worker.report();
           continue;
         }
-        const doors = new Map<string, (body: unknown) => Reply | undefined | Promise<Reply>>();
+        const doors = new Map<string, (body: unknown) => Reply | undefined | Promise<Reply | undefined>>();
         for (let index = 0; index < (this.options.nodes ?? 1); index++) {
           const name = `n${index}`;
           const node = this.nodes.get(name);
-          doors.set(name, (body) =>
-            this.unreachable.has(`${host}>${name}`) ? undefined : node?.controller.hello(body),
-          );
+          doors.set(name, async (body) => {
+            if (this.unreachable.has(`${host}>${name}`)) return undefined;
+            const reply = await node?.controller.hello(body);
+            return this.mute.has(host) ? undefined : reply;
+          });
         }
         void worker.tell(doors);
       }
--- a/src/testing/fake-worker.ts
+++ b/src/testing/fake-worker.ts
@@ -38,6 +38,8 @@
   lastAnswered: number;
   private at: string | undefined;
   private telling = false;
+  /** Until then it waits for an answer that does not come, and a little more. */
+  private waitsUntil = -Infinity;
 
   constructor(
     private readonly clock: FakeClock,
@@ -115,14 +117,16 @@
   }
 
   /** Sends one report to a node; `hello` is that node's answer. */
-  async tell(nodes: Map<string, (body: unknown) => Reply | undefined | Promise<Reply>>): Promise<void> {
-    if (this.telling) return;
+  async tell(nodes: Map<string, (body: unknown) => Reply | undefined | Promise<Reply | undefined>>): Promise<void> {
+    if (this.telling || this.clock.now() < this.waitsUntil) return;
     this.telling = true;
     await this.tellNow(nodes);
     this.telling = false;
   }
 
-  private async tellNow(nodes: Map<string, (body: unknown) => Reply | undefined | Promise<Reply>>): Promise<void> {
+  private async tellNow(
+    nodes: Map<string, (body: unknown) => Reply | undefined | Promise<Reply | undefined>>,
+  ): Promise<void> {
     const names = [...nodes.keys()];
     this.at ??= names[0]!;
     const sentAt = this.clock.now();
@@ -137,6 +141,7 @@
       this.obey(orders);
       return;
     }
+    if (reply === undefined) this.waitsUntil = sentAt + 5000;
     const steward = reply?.status === 421 ? (reply.body as { Steward?: string }).Steward : undefined;
     const next = names[(names.indexOf(this.at) + 1) % names.length]!;
     this.at = steward !== undefined && steward !== this.at && nodes.has(steward) ? steward : next;
--- a/src/workers/worker.ts
+++ b/src/workers/worker.ts
@@ -1,4 +1,5 @@
 import {
+  ANSWER_MISSED_MS,
   CLOCK_DRIFT,
   LEASE_MARGIN_MS,
   ROUND_TRIP_MS,
@@ -34,8 +35,14 @@
   readonly answeredLaunches = new Map<string, number>();
   /** Exits seen and handed to the ledger, not yet recorded. */
   readonly recording = new Set<string>();
-  /** The last report came by way of another node. */
-  relayed = false;
+  /** The node by way of which the last report came; undefined: this one. */
+  door: string | undefined;
+  /** The fence in the first answer to this worker: until it shows it, nothing proves that answers reach it. */
+  private firstFence: number | undefined;
+  /** Steady ms of the receipt of the last report whose answer is known to have arrived. */
+  private confirmedAt = -Infinity;
+  /** It waited in vain for the answer to the report before its last one. */
+  private missed = false;
   /** Launches in an answer on its way: a command push leaves them alone. */
   pushing = false;
   pushAgain = false;
@@ -60,9 +67,13 @@
 
   constructor(readonly host: string) {}
 
+  isNewer(report: Report): boolean {
+    return report.tenure > this.tenure || (report.tenure === this.tenure && report.tick > this.tick);
+  }
+
   /** Takes a report in. False: an older one, which changes nothing. */
   take(report: Report, now: number, isHello: boolean): boolean {
-    if (report.tenure < this.tenure || (report.tenure === this.tenure && report.tick <= this.tick)) return false;
+    if (!this.isNewer(report)) return false;
     if (report.tenure > this.tenure) {
       this.openCommands.clear();
       this.answeredLaunches.clear();
@@ -85,6 +96,39 @@
     return true;
   }
 
+  /**
+   * A report is about to be answered with 200. A worker that gets its answers stays with the node and reports in time; one
+   * that waits in vain tries other nodes first. So a machine whose reports arrive, but which no answer reaches, is told
+   * from a healthy one by its next report at the earliest.
+   */
+  noteAnswer(report: Report, fence: number, door: string | undefined, reportS: number, now: number): void {
+    this.firstFence ??= fence;
+    if (this.confirmedAt === -Infinity) this.confirmedAt = now;
+    const inTime = now - this.answeredAt <= 1.25 * reportS * 1000 + ANSWER_MISSED_MS;
+    const showsMore = report.fence > this.fence;
+    if (this.answeredAt > -Infinity) {
+      this.missed = !showsMore && !(inTime && door === this.door);
+      if (!this.missed) this.confirmedAt = this.answeredAt;
+    }
+    this.door = door;
+    this.answeredAt = now;
+  }
+
+  /** Orders reached it, by whatever way. */
+  noteReached(): void {
+    this.missed = false;
+  }
+
+  /** Do answers reach the worker, as far as its reports show? A late copy of a report shows no such thing. */
+  get isReached(): boolean {
+    return !this.missed && this.firstFence !== undefined && this.fence >= this.firstFence;
+  }
+
+  /** It reports, but by all it shows no answer has reached it for so long that its lease has run out. */
+  isMute(now: number, leaseS: number): boolean {
+    return this.missed && now > leaseOverAt(this.confirmedAt, leaseS);
+  }
+
   private noteTimes(now: number): void {
     const present = new Set<string>();
     for (const [name, task] of this.tasks) {
--- /dev/null
+++ b/test/reports.test.ts
@@ -0,0 +1,114 @@
+import assert from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+import { Cluster } from '../src/testing/cluster.js';
+
+let cluster: Cluster;
+afterEach(() => cluster.stop());
+
+async function ready(nodes: number, machines: number): Promise<Cluster> {
+  cluster = new Cluster({ nodes });
+  for (let index = 0; index < machines; index++) {
+    cluster.addWorker({ host: `i-00000${index}`, site: ['a', 'b', 'c'][index % 3]!, runMs: 5000 });
+  }
+  await cluster.advance(6000);
+  return cluster;
+}
+
+const service = { Ref: 'j-svc', Shape: 'service', Rank: 'prod', GuessS: 0, Shards: 1 };
+const where = (name: string) => cluster.runs(name).at(-1)!.host;
+const ownerOf = (host: string) => Number(cluster.node(0).claims.ownerOf(cluster.node(0).owner.roleOf(host))!.slice(1));
+const isOpen = (node: number, host: string) => {
+  const machine = cluster.node(node).fleet.get(host);
+  return machine !== undefined && cluster.node(node).fleet.isOpen(machine);
+};
+
+describe('a machine that no answer reaches', () => {
+  it('gets no new work, and its service comes up elsewhere once its lease has run out', async () => {
+    await ready(3, 4);
+    await cluster.submit(service);
+    const host = where('j-svc/0');
+    cluster.remember();
+    const since = cluster.clock.now();
+    cluster.mute.add(host);
+    await cluster.advance(12_000);
+    for (const node of [0, 1, 2]) assert.equal(isOpen(node, host), false);
+    await cluster.advance(8000);
+    assert.ok(cluster.cloud.returned.includes(host));
+    const runs = cluster.runs('j-svc/0');
+    assert.equal(runs.length, 2);
+    assert.ok(runs[1]!.from - since < 16_000, `${runs[1]!.from - since} ms`);
+    assert.equal(cluster.overlaps('j-svc/0'), 0);
+  });
+
+  it('is open again as soon as it is reached', async () => {
+    await ready(3, 2);
+    cluster.mute.add('i-000000');
+    await cluster.advance(2000);
+    cluster.mute.delete('i-000000');
+    await cluster.advance(7000);
+    assert.ok(isOpen(ownerOf('i-000000'), 'i-000000'));
+    assert.deepEqual(cluster.cloud.returned, []);
+  });
+});
+
+describe('a late copy of a report', () => {
+  it('is no sign of life: the machine is given back as soon as without it', async () => {
+    await ready(3, 4);
+    await cluster.submit(service);
+    const host = where('j-svc/0');
+    const copy = cluster.workers.get(host)!.report();
+    await cluster.advance(2000);
+    cluster.remember();
+    cluster.cut.add(host);
+    for (let second = 0; second < 12; second++) {
+      // Wherever it comes: at its owner, and at nodes that would take it for a worker cut off from its owner.
+      for (const node of [0, 1, 2]) void cluster.node(node).hello(JSON.parse(JSON.stringify(copy)));
+      await cluster.advance(1000);
+    }
+    assert.ok(cluster.cloud.returned.includes(host));
+    assert.equal(cluster.runs('j-svc/0').length, 2);
+    assert.equal(cluster.overlaps('j-svc/0'), 0);
+  });
+
+  it('does not bring a machine back that is gone', async () => {
+    await ready(3, 3);
+    const copy = cluster.workers.get('i-000001')!.report();
+    cluster.cut.add('i-000001');
+    await cluster.advance(12_000);
+    assert.ok(cluster.cloud.returned.includes('i-000001'));
+    for (const node of [0, 1, 2]) {
+      void cluster.node(node).hello(JSON.parse(JSON.stringify(copy)));
+      assert.equal(isOpen(node, 'i-000001'), false);
+      assert.equal(cluster.node(node).owner.workers.has('i-000001'), false);
+    }
+  });
+
+  it('heard first by a node that has just started opens no machine to new work', async () => {
+    await ready(1, 2);
+    const copy = cluster.workers.get('i-000000')!.report();
+    cluster.cut.add('i-000000');
+    cluster.crash(0);
+    cluster.start(0);
+    await cluster.advance(1500);
+    assert.equal((await cluster.node(0).hello(JSON.parse(JSON.stringify(copy)))).status, 200);
+    assert.equal(isOpen(0, 'i-000000'), false);
+    await cluster.advance(1000);
+    assert.ok(isOpen(0, 'i-000001'), 'a machine that has shown the new token is open');
+  });
+});
+
+describe('a node cut off from store and peers, but not from its workers', () => {
+  it('sends them to the new owner as soon as they show its token, and no task dies', async () => {
+    await ready(3, 6);
+    for (let n = 0; n < 6; n++) await cluster.submit({ ...service, Ref: `j-svc${n}` });
+    cluster.network.fault({ from: 'n0', to: 'store:1', kind: 'lose' });
+    for (const pair of ['n0>n1', 'n0>n2', 'n1>n0', 'n2>n0']) cluster.parted.add(pair);
+    await cluster.advance(25_000);
+    assert.equal(cluster.node(0).up().status, 503);
+    for (let n = 0; n < 6; n++) {
+      const runs = cluster.runs(`j-svc${n}/0`);
+      assert.equal(runs.length, 1);
+      assert.equal(runs[0]!.to, undefined);
+    }
+  });
+});
