The plan no longer sums and searches everything: room kept up by change, nothing matched where nothing fits

The book now keeps machines' room and teams' use; machines are sorted out once per kind of job; a plan takes a bounded share of the time.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -144,6 +144,12 @@
 /** Tasks matched in one planner run: bounds the processor time of one turn. */
 export const MAX_PLAN_TASKS = 400;
 
+/** Waiting tasks listed in one planner run; beyond, a job is only looked at with `PLAN_GLANCE` tasks. */
+export const MAX_UNPLACED = 1500;
+
+/** Tasks of one job tried where many others wait already. */
+export const PLAN_GLANCE = 16;
+
 /** Bytes of one shard's entry in a ledger chunk, a safe upper bound used to size chunks. */
 export const LEDGER_ENTRY_BYTES = 64;
 
@@ -261,7 +267,7 @@
  * Share of the time that a search of the whole cluster (plan, preemption) may take: whoever needs long looks more rarely,
  * so that reports and submissions always find the processor free.
  */
-export const WORK_SHARE = 0.25;
+export const WORK_SHARE = 0.15;
 
 /** ms between two preemption rounds: the exits of the last must have been seen. */
 export const PREEMPT_PERIOD_MS = 200;
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -2,29 +2,33 @@
   CARDS_TIER,
   FETCH_TIER_S,
   MAX_PLAN_TASKS,
+  MAX_UNPLACED,
   PLAN_GATHER_MS,
+  PLAN_GLANCE,
   PLAN_TICK_MS,
   RATIO_WEIGHT,
   RETRY_BASE_MS,
   RETRY_MAX_MS,
   SAMPLE_MACHINES,
   WARM_WAIT_MS,
+  WORK_SHARE,
 } from '../constants.js';
 import type { Settings, Team, Tuning } from '../config/settings.js';
 import type { Book, JobView } from '../ledger/book.js';
 import { startShard } from '../ledger/edits.js';
 import { RANKS, shardName, type JobSpec, type Slot, type TeamRecord } from '../ledger/records.js';
-import { allowedOn, fits, quotaAllows, roomOf, takeRoom, zoneAllows, zonesOf, type Room } from '../ledger/rules.js';
+import { fits, quotaAllows, roomOf, takeRoom, zoneAllows, zonesOf, type Room } from '../ledger/rules.js';
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
 import { Priority } from '../net/token-bucket.js';
 import { match, type Host, type Seeker } from '../placement/matching.js';
 import { before, isFeasible, targetsOf, withinGuarantee, type Candidate } from '../placement/queue.js';
-import { roomOfFlavor } from '../placement/renting.js';
+import { roomOfFlavor, tasksIn } from '../placement/renting.js';
 import type { Committer, Draft } from '../state/committer.js';
 import { LEADER, partRole, type Claims } from './claims.js';
 import type { Fleet, MachineInfo } from './fleet.js';
 import type { Log } from './log.js';
+import { Pools } from './pools.js';
 
 /** A shard that waits for a place. */
 export interface Waiting {
@@ -54,6 +58,8 @@
   private readonly failures = new Map<string, { fails: number; until: number }>();
   private readonly teams: Map<string, Team>;
   private wake: (() => void) | undefined;
+  /** Tasks matched in the run under way. */
+  private matched = 0;
   private dirty = true;
   /** What found no place in the leader's last round: what machines are rented and tasks preempted for. */
   unplaced: Waiting[] = [];
@@ -99,9 +105,11 @@
       const flavor = this.fleet.catalog.get(machine.flavor);
       if (flavor === undefined) continue;
       const room = roomOfFlavor(flavor);
-      for (const place of this.book.placesOn(machine.host)) {
-        const spec = this.book.jobs.get(place.ref)?.record.spec;
-        if (spec !== undefined) takeRoom(room, spec);
+      const taken = this.book.takenOn(machine.host);
+      if (taken !== undefined) {
+        room.cpus -= taken.cpus;
+        room.cards -= taken.cards;
+        room.memGb -= taken.memGb;
       }
       rooms.set(machine.host, room);
     }
@@ -115,14 +123,11 @@
   /** Each team's use, as the book and the flying starts have it. */
   uses(): Map<string, TeamRecord> {
     const uses = new Map<string, TeamRecord>();
-    const add = (spec: JobSpec, times: number) => {
+    for (const [team, use] of this.book.uses) uses.set(team, { ...use });
+    for (const { spec } of this.flights.values()) {
       const use = uses.get(spec.Owner) ?? { cpus: 0, cards: 0 };
-      use.cpus += spec.Cpus * times;
-      use.cards += spec.Cards * times;
-      uses.set(spec.Owner, use);
-    };
-    for (const view of this.book.jobs.values()) if (view.placed > 0) add(view.record.spec, view.placed);
-    for (const flight of this.flights.values()) add(flight.spec, 1);
+      uses.set(spec.Owner, { cpus: use.cpus + spec.Cpus, cards: use.cards + spec.Cards });
+    }
     return uses;
   }
 
@@ -141,15 +146,16 @@
   }
 
   /** The waiting shards of a job, in order; for a gang all or none. */
-  waiting(view: JobView): Waiting[] {
+  waiting(view: JobView, most = MAX_PLAN_TASKS): Waiting[] {
     const { spec, phase } = view.record;
     if (phase !== 'active' || view.done + view.placed === spec.Shards) return [];
     const now = this.clock.now();
     const list: Waiting[] = [];
-    for (let shard = 0; shard < spec.Shards && list.length < MAX_PLAN_TASKS; shard++) {
+    for (let shard = 0; shard < spec.Shards && list.length < most; shard++) {
       const slot = view.slot(shard);
+      if (slot.kind !== 'queued') continue;
       const name = shardName(view.ref, shard);
-      if (slot.kind !== 'queued' || this.flights.has(name) || this.pausedUntil(name, slot, now) > now) continue;
+      if (this.flights.has(name) || this.pausedUntil(name, slot, now) > now) continue;
       list.push({ view, shard, slot });
     }
     return list;
@@ -208,30 +214,23 @@
     const machines = [...this.fleet.all().values()].filter((machine) => this.fleet.isOpen(machine));
     const rooms = this.rooms(machines);
     const uses = this.uses();
-    const partOfHost = new Map(machines.map((machine) => [machine.host, this.claims.partOf(machine.host)]));
+    const pools = new Pools(machines, (host) => this.claims.partOf(host));
     const unplaced: Waiting[] = [];
-    let budget = MAX_PLAN_TASKS;
+    this.matched = 0;
     for (const { record } of this.candidates()) {
-      if (budget <= 0) break;
-      const view = this.book.jobs.get(record.spec.Ref)!;
       const { spec } = record;
-      const waiting = this.waiting(view);
+      // Behind so many that wait already, a look at a few tells whether the job's tasks still fit somewhere.
+      const most = unplaced.length < MAX_UNPLACED || this.isLarge(spec) ? MAX_PLAN_TASKS : PLAN_GLANCE;
+      const waiting = this.waiting(this.book.jobs.get(spec.Ref)!, most);
       if (waiting.length === 0) continue;
-      budget -= waiting.length;
-      const fitting = machines.filter((machine) => allowedOn(spec, machine) && !machine.failedJobs.includes(spec.Ref));
-      // With more to place than one run takes, a sample of many machines will do; what hangs together needs them all.
-      const large = this.isLarge(spec);
-      const busy = budget <= 0 && !large;
-      const usable = busy ? this.random.sample(fitting, SAMPLE_MACHINES) : fitting;
       // Every node makes the whole plan and commits only what is its own: so it keeps the room that others will take, and
       // what is freed for a service does not go to the next batch task.
-      if (large) {
-        this.place(waiting, usable, rooms, uses, leader ? LEADER : undefined, unplaced);
+      if (this.isLarge(spec)) {
+        this.place(waiting, pools.allowed(spec), rooms, uses, leader ? LEADER : undefined, unplaced);
         continue;
       }
       const part = this.claims.partOf(spec.Ref);
-      const near = usable.filter((machine) => partOfHost.get(machine.host) === part);
-      const far = usable.filter((machine) => partOfHost.get(machine.host) !== part);
+      const { near, far } = pools.split(spec, part);
       const left: Waiting[] = [];
       this.place(waiting, near, rooms, uses, parts.has(part) ? partRole(part) : undefined, left);
       this.place(left, far, rooms, uses, leader ? LEADER : undefined, unplaced);
@@ -245,7 +244,7 @@
    */
   private place(
     waiting: Waiting[],
-    machines: MachineInfo[],
+    machines: readonly MachineInfo[],
     rooms: Map<string, Room>,
     uses: Map<string, TeamRecord>,
     role: string | undefined,
@@ -266,21 +265,28 @@
       allowed++;
     }
     if (gang && allowed < waiting.length) return;
-    const seekers: Seeker[] = waiting.slice(0, allowed).map((each) => ({
+    const usable = this.withRoom(spec, this.warmOnly(waiting, machines, rooms), rooms, allowed);
+    // A full cluster is the usual case under load: nothing is matched where nothing fits, and no more than fits at all.
+    const most = gang && usable.tasks < allowed ? 0 : usable.tasks;
+    if (most === 0) {
+      left.push(...waiting.slice(0, allowed));
+      return;
+    }
+    this.matched += most;
+    const seekers: Seeker[] = waiting.slice(0, most).map((each) => ({
       id: shardName(view.ref, each.shard),
       group: view.ref,
       use: roomOf(spec),
       peak: roomOf(spec),
     }));
-    const usable = this.warmOnly(waiting, machines, rooms);
-    const byHost = new Map(usable.map((machine) => [machine.host, machine]));
+    const byHost = new Map(usable.machines.map((machine) => [machine.host, machine]));
     const slots = zonesOf([...view.known()].map(([, slot]) => slot));
     for (const flight of this.flights.values()) {
       if (flight.spec.Ref !== view.ref) continue;
       const site = this.fleet.get(flight.host)?.site;
       if (site !== undefined) slots.set(site, (slots.get(site) ?? 0) + 1);
     }
-    const hosts: Host[] = usable.map((machine) => ({
+    const hosts: Host[] = usable.machines.map((machine) => ({
       id: machine.host,
       site: machine.site,
       free: rooms.get(machine.host)!,
@@ -315,6 +321,27 @@
     if (choices.length > 0 && role !== undefined) this.commit(view, choices, role, team, gang);
   }
 
+  /** The machines that have room for a task, and how many tasks they have room for, counted up to `enough`. */
+  private withRoom(
+    spec: JobSpec,
+    machines: readonly MachineInfo[],
+    rooms: ReadonlyMap<string, Room>,
+    enough: number,
+  ): { machines: MachineInfo[]; tasks: number } {
+    const open: MachineInfo[] = [];
+    let tasks = 0;
+    for (const machine of machines) {
+      const room = rooms.get(machine.host)!;
+      if (!fits(spec, room) || machine.failedJobs.includes(spec.Ref)) continue;
+      open.push(machine);
+      tasks += tasksIn(room, spec);
+    }
+    // With more to place than one run takes, a sample of many machines will do; what hangs together needs them all.
+    const busy = this.matched >= MAX_PLAN_TASKS && !this.isLarge(spec);
+    const usable = busy ? this.random.sample(open, SAMPLE_MACHINES) : open;
+    return { machines: usable, tasks: Math.min(tasks, enough) };
+  }
+
   private matchInZones(
     spec: JobSpec,
     seekers: readonly Seeker[],
@@ -391,7 +418,11 @@
    * For a service, a machine that holds its image is worth stopping lower work for: the fetch takes longer. So for a
    * moment only such machines count, if there are any that could be made free.
    */
-  private warmOnly(waiting: Waiting[], machines: MachineInfo[], rooms: Map<string, Room>): MachineInfo[] {
+  private warmOnly(
+    waiting: Waiting[],
+    machines: readonly MachineInfo[],
+    rooms: ReadonlyMap<string, Room>,
+  ): readonly MachineInfo[] {
     const { view } = waiting[0]!;
     const { spec } = view.record;
     if (spec.Shape !== 'service' || spec.Rank !== 'prod') return machines;
@@ -477,6 +508,8 @@
       }
       for (const [name, failure] of this.failures) if (now > failure.until + RETRY_MAX_MS) this.failures.delete(name);
       this.plan();
+      // Changes come by the dozen a second: a plan that takes long is made more rarely, and takes them together.
+      await this.clock.sleep((this.clock.now() - now) * (1 / WORK_SHARE - 1), signal);
     }
   }
 }
--- a/src/ledger/book.ts
+++ b/src/ledger/book.ts
@@ -9,7 +9,9 @@
   type JobRecord,
   type Placed,
   type Slot,
+  type TeamRecord,
 } from './records.js';
+import { round, takeRoom, type Room } from './rules.js';
 
 export interface Place {
   ref: string;
@@ -60,6 +62,9 @@
   readonly jobs = new Map<string, JobView>();
   readonly claims = new Map<string, { record: ClaimRecord; stamp: number }>();
   private readonly hosts = new Map<string, Map<string, Place>>();
+  /** Room that each machine's places take, and each team's use, kept up with every change instead of summed anew. */
+  private readonly taken = new Map<string, Room>();
+  private readonly teams = new Map<string, TeamRecord>();
   private readonly orphans = new Map<string, Map<number, unknown>>();
   private readonly unreadable = new Set<string>();
 
@@ -75,6 +80,16 @@
     return this.hosts.get(host)?.values() ?? [];
   }
 
+  /** Room that the ledger gives away on a machine. */
+  takenOn(host: string): Readonly<Room> | undefined {
+    return this.taken.get(host);
+  }
+
+  /** What each team's places use together. */
+  get uses(): ReadonlyMap<string, Readonly<TeamRecord>> {
+    return this.teams;
+  }
+
   countOn(host: string): number {
     return this.hosts.get(host)?.size ?? 0;
   }
@@ -163,7 +178,10 @@
       view.placed--;
       const places = this.hosts.get(slot.host);
       places?.delete(`${view.ref}/${first + at}`);
-      if (places?.size === 0) this.hosts.delete(slot.host);
+      this.count(view, slot.host, -1);
+      if (places?.size !== 0) continue;
+      this.hosts.delete(slot.host);
+      this.taken.delete(slot.host);
     }
     if (slots === undefined) {
       view.chunks.delete(index);
@@ -177,6 +195,19 @@
       let places = this.hosts.get(slot.host);
       if (places === undefined) this.hosts.set(slot.host, (places = new Map<string, Place>()));
       places.set(`${view.ref}/${first + at}`, { ref: view.ref, shard: first + at, slot });
+      this.count(view, slot.host, 1);
     }
   }
+
+  private count(view: JobView, host: string, tasks: 1 | -1): void {
+    const { spec } = view.record;
+    let room = this.taken.get(host);
+    if (room === undefined) this.taken.set(host, (room = { cpus: 0, cards: 0, memGb: 0 }));
+    takeRoom(room, spec, -tasks);
+    const use = this.teams.get(spec.Owner) ?? { cpus: 0, cards: 0 };
+    this.teams.set(spec.Owner, {
+      cpus: round(use.cpus + tasks * spec.Cpus),
+      cards: round(use.cards + tasks * spec.Cards),
+    });
+  }
 }
--- a/src/placement/renting.ts
+++ b/src/placement/renting.ts
@@ -27,12 +27,17 @@
   memGb: flavor.memGb,
 });
 
-export const perMachine = (flavor: Flavor, spec: JobSpec): number => {
-  if (!fits(spec, roomOfFlavor(flavor))) return 0;
-  const counts = [flavor.cpus / spec.Cpus, flavor.memGb / spec.MemGb, flavor.cards / spec.Cards];
-  return Math.floor(Math.min(...counts.filter((n) => Number.isFinite(n))) + 1e-6);
+/** How many tasks of a job have room together. */
+export const tasksIn = (room: Room, spec: JobSpec): number => {
+  if (!fits(spec, room)) return 0;
+  let count = room.cpus / spec.Cpus;
+  if (spec.MemGb > 0) count = Math.min(count, room.memGb / spec.MemGb);
+  if (spec.Cards > 0) count = Math.min(count, room.cards / spec.Cards);
+  return Math.floor(count + 1e-6);
 };
 
+export const perMachine = (flavor: Flavor, spec: JobSpec): number => tasksIn(roomOfFlavor(flavor), spec);
+
 /** ms after which a machine that was rented and never heard counts as one that will not come up. */
 export const bootLimitMs = (flavor: Flavor | undefined): number => (flavor?.bootS ?? 60) * 1000 * BOOT_PATIENCE;
 
