Nodes tell each other what their transactions changed; watches and polls ask the store more rarely

Records now go to the peers over the mesh (ignored when older than the copy is complete); watches pause by a share of the store's rate while all peers are heard; polls share a comparison.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -75,9 +75,18 @@
 /** ms that one watch stays open: short, so that a watch stuck behind a cut is soon replaced. */
 export const WATCH_WAIT_MS = 10_000;
 
-/** ms between two watches: collects changes, so that busy times do not use up the request rate. */
+/** ms between two watches at least: collects changes, so that busy times do not use up the request rate. */
 export const WATCH_PAUSE_MS = 40;
 
+/**
+ * Share of the store's requests that the watches of all nodes may use together while the nodes hear each other, and so
+ * learn of changes from whoever made them.
+ */
+export const WATCH_SHARE = 0.1;
+
+/** ms that changes are collected before peers are told. */
+export const NEWS_GATHER_MS = 10;
+
 /** Rows a page when the replica is read: the store's own maximum. */
 export const PAGE_ROWS = 1000;
 
@@ -96,8 +105,11 @@
 /** ms after which a poll is refused: users wait 2 s for it. */
 export const POLL_DEADLINE_MS = 1500;
 
-/** ms that polls are collected before one comparing transaction answers them all. */
-export const POLL_GATHER_MS = 15;
+/**
+ * ms that polls are collected before one comparing transaction answers them all: users wait 2 s, and some hundred of them
+ * who poll every 5 s would otherwise take a request of the store's each.
+ */
+export const POLL_GATHER_MS = 150;
 
 /** Users' requests in work at once; above it a node answers 429 at once, so that memory stays bounded. */
 export const MAX_OPEN_REQUESTS = 200;
--- a/src/controller/claims.ts
+++ b/src/controller/claims.ts
@@ -189,7 +189,9 @@
       this.latch = undefined;
       this.latch = await this.client.createHold(HOLD_TTL_MS);
     }
-    if (!(await this.replica.refresh())) return;
+    // The watch of a busy time has told enough.
+    const told = this.clock.now() - this.replica.freshAt < HEARTBEAT_MS / 2;
+    if (!told && !(await this.replica.refresh())) return;
     await this.settle();
   }
 
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -8,6 +8,9 @@
   HANDBACK_MS,
   SWEEP_MS,
   FINISH_PERIOD_MS,
+  NEWS_GATHER_MS,
+  WATCH_PAUSE_MS,
+  WATCH_SHARE,
 } from '../constants.js';
 import { Jobs, type Answer } from '../api/jobs.js';
 import { ApiServer } from '../api/server.js';
@@ -17,7 +20,7 @@
 import { endJob } from '../ledger/edits.js';
 import { chunkKey, jobKey, LIVE, parseShard, shardName } from '../ledger/records.js';
 import { Mesh, splitAddress } from '../mesh/mesh.js';
-import type { Gossip, MachineNews, Message } from '../mesh/messages.js';
+import type { Gossip, MachineNews, Message, News } from '../mesh/messages.js';
 import { Relays } from '../mesh/relays.js';
 import { Peers } from '../mesh/peers.js';
 import type { Clock } from '../net/clock.js';
@@ -25,7 +28,7 @@
 import { Random } from '../net/random.js';
 import { Priority } from '../net/token-bucket.js';
 import { Happiness } from '../placement/happiness.js';
-import { StateClient } from '../state/client.js';
+import { StateClient, type Change } from '../state/client.js';
 import { Committer, txnLimits } from '../state/committer.js';
 import { Replica } from '../state/replica.js';
 import { decodeReport, type Report } from '../workers/report.js';
@@ -58,6 +61,7 @@
   private readonly random: Random;
   private readonly ending = new Set<string>();
   private gossiping = false;
+  private readonly news: Change[] = [];
   private readonly relays: Relays;
   /** Set by whoever links the controllers: the mesh, or a test. */
   send: (node: string, message: Message) => boolean = () => false;
@@ -75,7 +79,7 @@
     const limits = txnLimits(settings.cluster.state);
     const peerNodes = settings.peers.map((peer) => peer.node);
     this.client = new StateClient(http, settings.outside.state, settings.cluster.state, clock, this.random);
-    this.replica = new Replica(this.client, LIVE, clock);
+    this.replica = new Replica(this.client, LIVE, clock, () => this.watchPauseMs());
     this.book = new Book(this.replica, {
       job: (ref) => this.jobChanged(ref),
       claim: () => this.claimChanged(),
@@ -84,6 +88,7 @@
     this.replica.onChange((key, now) => this.takeFlavor(key, now.value));
     this.committer = new Committer(this.client, this.replica, limits, LIVE, clock, this.random);
     this.peers = new Peers(peerNodes, clock, () => this.replica.freshAt);
+    this.committer.announce = (changes) => this.tell(changes);
     this.claims = new Claims(
       settings,
       this.client,
@@ -256,6 +261,36 @@
     });
   }
 
+  private watchPauseMs(): number {
+    const { cluster, peers } = this.settings;
+    if (this.peers.heard().length < peers.length) return WATCH_PAUSE_MS;
+    return Math.max(WATCH_PAUSE_MS, (1000 * cluster.size) / (cluster.state.rps * WATCH_SHARE));
+  }
+
+  /** Collects what this node's transactions have changed, and tells the peers. */
+  private tell(changes: Change[]): void {
+    if (this.settings.peers.length === 0) return;
+    this.news.push(...changes);
+    if (this.news.length > changes.length) return;
+    void this.clock.sleep(NEWS_GATHER_MS).then(() => {
+      const told = this.news.splice(0).map(({ key, value, stamp }) => ({
+        key,
+        value: value === undefined ? null : JSON.stringify(value),
+        stamp,
+      }));
+      const message: Message = { news: { changes: told } };
+      for (const { node } of this.settings.peers) this.send(node, message);
+    });
+  }
+
+  private learn({ changes }: News): void {
+    for (const { key, value, stamp } of changes) {
+      const change = { key, value: value === null ? undefined : (JSON.parse(value) as unknown), stamp };
+      if (key.startsWith(LIVE)) this.replica.hear(change);
+      else this.committer.remember(key, change);
+    }
+  }
+
   private async relay(owner: string, body: unknown): Promise<Answer> {
     const answer = await this.relays.ask(owner, body);
     if (answer?.status !== 200) return { status: 421, body: { Steward: owner } };
@@ -266,6 +301,7 @@
   receive(message: Message): void {
     if ('gossip' in message) this.hear(message.gossip);
     else if ('relayAnswer' in message) this.relays.take(message.relayAnswer);
+    else if ('news' in message) this.learn(message.news);
     else {
       const { node, id, report: text } = message.relay;
       const report = decodeReport(JSON.parse(text));
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -119,7 +119,17 @@
   body: string;
 }
 
-export type Message = { gossip: Gossip } | { relay: Relay } | { relayAnswer: RelayAnswer };
+/** Records as a transaction of the sender's has just left them in the store: known sooner than by a watch. */
+export interface News {
+  changes: {
+    key: string;
+    /** JSON; null: the key was dropped. */
+    value: string | null;
+    stamp: number;
+  }[];
+}
+
+export type Message = { gossip: Gossip } | { relay: Relay } | { relayAnswer: RelayAnswer } | { news: News };
 
 const envelope = avro.Type.forSchema({
   type: 'record',
@@ -160,10 +170,45 @@
       ],
       default: null,
     },
+    {
+      name: 'news',
+      type: [
+        'null',
+        {
+          type: 'record',
+          name: 'News',
+          fields: [
+            {
+              name: 'changes',
+              type: {
+                type: 'array',
+                items: {
+                  type: 'record',
+                  name: 'RecordChange',
+                  fields: [
+                    { name: 'key', type: 'string' },
+                    { name: 'value', type: ['null', 'string'] },
+                    { name: 'stamp', type: 'long' },
+                  ],
+                },
+              },
+            },
+          ],
+        },
+      ],
+      default: null,
+    },
   ],
 });
 
-export const encodeMessage = (message: Message): Buffer => envelope.toBuffer(message);
+const encoded = new WeakMap<Message, Buffer>();
+
+/** What goes to several peers is encoded once. */
+export function encodeMessage(message: Message): Buffer {
+  let bytes = encoded.get(message);
+  if (bytes === undefined) encoded.set(message, (bytes = envelope.toBuffer(message)));
+  return bytes;
+}
 
 /** Throws when the bytes are not a message. */
 export function decodeMessage(bytes: Buffer): Message {
@@ -171,9 +216,11 @@
     gossip: Gossip | null;
     relay: Relay | null;
     relayAnswer: RelayAnswer | null;
+    news: News | null;
   };
   if (raw.gossip !== null) return { gossip: raw.gossip };
   if (raw.relay !== null) return { relay: raw.relay };
   if (raw.relayAnswer !== null) return { relayAnswer: raw.relayAnswer };
+  if (raw.news !== null) return { news: raw.news };
   throw new Error('empty message');
 }
--- a/src/state/committer.ts
+++ b/src/state/committer.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
 import { Priority } from '../net/token-bucket.js';
-import type { Condition, StateClient, Write } from './client.js';
+import type { Change, Condition, StateClient, Write } from './client.js';
 import type { Replica, Stored } from './replica.js';
 
 /** Room in one transaction. */
@@ -132,6 +132,8 @@
   private readonly finals = new Map<string, Stored>();
   private pausedUntil = 0;
   private waking = false;
+  /** Told what this node's transactions have changed. */
+  announce: (changes: Change[]) => void = () => undefined;
 
   constructor(
     private readonly client: StateClient,
@@ -254,11 +256,7 @@
     const result = await this.client.txn(conditions, writes, priority);
     switch (result.kind) {
       case 'done':
-        for (const write of writes) {
-          const change = { key: write.key, value: write.value, stamp: result.epoch };
-          if (write.key.startsWith(this.prefix)) this.replica.apply(change);
-          else this.remember(write.key, change);
-        }
+        this.changed(writes.map(({ key, value }) => ({ key, value, stamp: result.epoch })));
         for (const intent of batch) intent.resolve({ kind: 'done', epoch: result.epoch });
         break;
       case 'conflict':
@@ -284,6 +282,14 @@
     else this.wake();
   }
 
+  private changed(changes: Change[]): void {
+    for (const change of changes) {
+      if (change.key.startsWith(this.prefix)) this.replica.apply(change);
+      else this.remember(change.key, change);
+    }
+    this.announce(changes);
+  }
+
   private async catchUp(failed: string[]): Promise<void> {
     const foreign = failed.filter((key) => !key.startsWith(this.prefix));
     await Promise.all([
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -29,6 +29,8 @@
     private readonly client: StateClient,
     private readonly prefix: string,
     private readonly clock: Clock,
+    /** ms between two watches. */
+    private readonly pauseMs: () => number = () => WATCH_PAUSE_MS,
   ) {}
 
   onChange(listener: Listener): void {
@@ -50,6 +52,14 @@
     for (const listener of this.listeners) listener(change.key, now, before);
   }
 
+  /**
+   * Takes in what a peer's transaction has just changed. What the copy is complete beyond is old news, perhaps held back by
+   * a cut: a record dropped since would come to life again by it.
+   */
+  hear(change: Change): void {
+    if (this.loaded && change.stamp > this.epoch) this.apply(change);
+  }
+
   private advance(epoch: number): void {
     if (epoch <= this.epoch) return;
     this.epoch = epoch;
@@ -126,7 +136,7 @@
         continue;
       }
       const ok = await this.pull(WATCH_WAIT_MS);
-      await this.clock.sleep(ok ? WATCH_PAUSE_MS : 500, signal);
+      await this.clock.sleep(ok ? this.pauseMs() : 500, signal);
     }
   }
 }
