--- a/src/constants.ts
+++ b/src/constants.ts
@@ -198,6 +198,12 @@
 /** Share of a part's machines silent at once above which the node suspects itself, not the machines. */
 export const SELF_SUSPECT_SHARE = 0.4;
 
+/** Share of a zone's machines silent at once above which the zone counts as cut off. */
+export const ZONE_CUT_SHARE = 0.5;
+
+/** ms for which the machines of a zone that is cut off are kept: longer than most cuts, and than renting others takes. */
+export const ZONE_PATIENCE_MS = 120_000;
+
 /** ms after which a machine that no owner speaks of is forgotten; its images are of use to a new owner until then. */
 export const FORGET_MACHINE_MS = 120_000;
 
@@ -279,7 +285,7 @@
  * Share of the time that a search of the whole cluster (plan, preemption) may take: whoever needs long looks more rarely,
  * so that reports and submissions always find the processor free.
  */
-export const WORK_SHARE = 0.15;
+export const WORK_SHARE = 0.08;
 
 /** ms between two preemption rounds: the exits of the last must have been seen. */
 export const PREEMPT_PERIOD_MS = 200;
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -4,7 +4,6 @@
   NO_CAPACITY_MS,
   PREEMPT_PERIOD_MS,
   RENT_PERIOD_MS,
-  SELF_SUSPECT_SHARE,
   CATALOG_PERIOD_MS,
   STATUS_PERIOD_MS,
   MAX_RENT_AT_ONCE,
@@ -20,6 +19,7 @@
 import { zoneAllows, zonesOf } from '../ledger/rules.js';
 import type { Clock } from '../net/clock.js';
 import { Priority } from '../net/token-bucket.js';
+import { machinesToGiveUp, type Watched } from '../placement/silence.js';
 import { belowReserve, bootLimitMs, decideRentals, type Need, type Offer, type Wanted } from '../placement/renting.js';
 import type { Committer } from '../state/committer.js';
 import type { Peers } from '../mesh/peers.js';
@@ -355,21 +355,18 @@
   private silent(all: ReadonlyMap<string, MachineInfo>): string[] {
     const now = this.clock.now();
     const limit = silenceLimitMs(this.settings.cluster.workers);
-    const perPart = new Map<number, { silent: string[]; total: number }>();
+    const watched: Watched[] = [];
     for (const machine of all.values()) {
+      const part = this.claims.partOf(machine.host);
       // Only the word of the present owner counts: a former one, cut off, would call them all silent.
-      const isOwners = machine.owner === this.claims.ownerOf(partRole(this.claims.partOf(machine.host)));
+      const isOwners = machine.owner === this.claims.ownerOf(partRole(part));
       if (!isOwners || this.fleet.gone.has(machine.host) || !this.fleet.isCurrent(machine.host)) continue;
-      const part = this.claims.partOf(machine.host);
-      const entry = perPart.get(part) ?? { silent: [], total: 0 };
-      entry.total++;
+      const age = now - machine.heardAt;
       // A mute machine's lease has run out, so nothing runs there any more; only its being gone proves that at once.
-      if (machine.mute || (now - machine.heardAt > limit && !this.knocked(machine))) entry.silent.push(machine.host);
-      perPart.set(part, entry);
+      const silent = machine.mute || (age > limit && !this.knocked(machine));
+      watched.push({ host: machine.host, part, site: machine.site, silentMs: silent ? Math.max(age, 1) : 0 });
     }
-    return [...perPart.values()]
-      .filter(({ silent, total }) => silent.length <= Math.max(2, total * SELF_SUSPECT_SHARE))
-      .flatMap(({ silent }) => silent);
+    return machinesToGiveUp(watched);
   }
 
   private knocked(machine: MachineInfo): boolean {
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -68,6 +68,8 @@
   private readonly teams: Map<string, Team>;
   private readonly pushes = new Set<string>();
   private readonly raisedAt = new Map<string, number>();
+  /** Attempts whose end is handed to the ledger and not yet recorded, also on machines that this node has never heard. */
+  private readonly recording = new Set<string>();
 
   constructor(
     private readonly settings: Settings,
@@ -254,8 +256,8 @@
   private record(worker: Worker, role: string, free: Free): void {
     const { place, proof, ending, task } = free;
     const key = attemptOf(place);
-    if (worker.recording.has(key)) return;
-    worker.recording.add(key);
+    if (this.recording.has(key)) return;
+    this.recording.add(key);
     const now = this.clock.now();
     const began = worker.runningSince.get(key);
     const seconds = (ms: number | undefined) => (ms === undefined ? undefined : Math.round(ms / 100) / 10);
@@ -287,7 +289,7 @@
         if (!this.claims.require(draft, role)) return false;
         return freeShard(draft, this.teams, place.ref, place.shard, worker.host, proof, ending);
       })
-      .finally(() => worker.recording.delete(key));
+      .finally(() => this.recording.delete(key));
   }
 
   /** The ledger of a machine has changed: tell its worker soon, without waiting for its next report. */
--- /dev/null
+++ b/src/placement/silence.ts
@@ -0,0 +1,45 @@
+import { SELF_SUSPECT_SHARE, ZONE_CUT_SHARE, ZONE_PATIENCE_MS } from '../constants.js';
+
+/** What an owner says of one of its machines, as far as giving it up goes. */
+export interface Watched {
+  host: string;
+  part: number;
+  site: string;
+  /** ms for which nothing has shown that it lives and can be reached; 0: it does and can. */
+  silentMs: number;
+}
+
+interface Group {
+  silent: number;
+  total: number;
+}
+
+const grouped = <K>(machines: readonly Watched[], keyOf: (machine: Watched) => K): Map<K, Group> => {
+  const groups = new Map<K, Group>();
+  for (const machine of machines) {
+    const key = keyOf(machine);
+    const group = groups.get(key) ?? { silent: 0, total: 0 };
+    group.total++;
+    if (machine.silentMs > 0) group.silent++;
+    groups.set(key, group);
+  }
+  return groups;
+};
+
+const few = ({ silent, total }: Group, share: number): boolean => silent <= Math.max(2, total * share);
+
+/**
+ * Silent machines that are to be given back. Where most of a part are silent, its owner is the one that can't be reached.
+ * Where most of a zone are, the zone is cut off: its machines come back with their images when the cut ends, new ones could
+ * not be reached either, and what ran there is free when the leases are over.
+ */
+export function machinesToGiveUp(machines: readonly Watched[]): string[] {
+  const parts = grouped(machines, (machine) => machine.part);
+  const zones = grouped(machines, (machine) => machine.site);
+  return machines
+    .filter(({ part, site, silentMs }) => {
+      if (silentMs <= 0 || !few(parts.get(part)!, SELF_SUSPECT_SHARE)) return false;
+      return few(zones.get(site)!, ZONE_CUT_SHARE) || silentMs > ZONE_PATIENCE_MS;
+    })
+    .map(({ host }) => host);
+}
--- a/src/workers/worker.ts
+++ b/src/workers/worker.ts
@@ -33,8 +33,6 @@
   readonly openCommands = new Map<string, number>();
   /** Launches in the answer to a report, with that report's Tick. */
   readonly answeredLaunches = new Map<string, number>();
-  /** Exits seen and handed to the ledger, not yet recorded. */
-  readonly recording = new Set<string>();
   /** The node by way of which the last report came; undefined: this one. */
   door: string | undefined;
   /** The fence in the first answer to this worker: until it shows it, nothing proves that answers reach it. */
@@ -77,7 +75,6 @@
     if (report.tenure > this.tenure) {
       this.openCommands.clear();
       this.answeredLaunches.clear();
-      this.recording.clear();
     }
     this.tenure = report.tenure;
     this.tick = report.tick;
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -112,3 +112,21 @@
     }
   });
 });
+
+describe('a zone that is cut off', () => {
+  it('keeps its machines, its tasks start elsewhere when the leases are over, and its machines are used again', async () => {
+    await ready(3, 9);
+    const inZone = [...cluster.workers.values()].filter((worker) => worker.options.site === 'b');
+    await cluster.submit({ ...service, Shards: 4, Spread: true });
+    for (const { options } of inZone) cluster.cut.add(options.host);
+    await cluster.advance(14_000);
+    const cutOff = [0, 1, 2, 3].filter((n) => cluster.runs(`j-svc/${n}`).length > 1);
+    for (const n of cutOff) assert.notEqual(cluster.workers.get(where(`j-svc/${n}`))!.options.site, 'b');
+    assert.ok(cutOff.length > 0);
+    for (let n = 0; n < 4; n++) assert.equal(cluster.overlaps(`j-svc/${n}`), 0);
+    assert.deepEqual(cluster.cloud.returned, []);
+    for (const { options } of inZone) cluster.cut.delete(options.host);
+    await cluster.advance(5000);
+    for (const { options } of inZone) assert.ok(isOpen(ownerOf(options.host), options.host));
+  });
+});
