--- a/src/api/jobs.ts
+++ b/src/api/jobs.ts
@@ -1,4 +1,5 @@
 import {
+  FRESH_MS,
   LEDGER_ENTRY_BYTES,
   MAX_CHUNK_SHARDS,
   POLL_DEADLINE_MS,
@@ -31,6 +32,8 @@
   retryAfter?: number;
 }
 
+const OUT = 'the state service does not answer';
+
 const later = (error: string, retryAfter = 1): Answer => ({ status: 503, body: { error }, retryAfter });
 
 interface Asked {
@@ -69,6 +72,7 @@
     const known = this.final(spec.Ref);
     if (known !== undefined) return { status: 200, body: known };
     if (!this.replica.loaded) return later('the records are not read yet');
+    if (this.isOut) return later(OUT);
     if (this.fleet.catalog.size === 0) return this.ifKnown(spec.Ref, later('machine types are not known yet'));
     const why = whyNever(spec, this.teams.get(spec.Owner), this.fleet.catalog.values()) ?? this.whyTooLarge(spec);
     if (why !== undefined) return this.ifKnown(spec.Ref, { status: 422, body: { error: why } });
@@ -101,8 +105,8 @@
       );
       return { status: 201, body: { Ref: spec.Ref, Phase: 'queued' } };
     }
-    if (outcome.kind === 'void') return this.ifKnown(spec.Ref, later('the state service does not answer'));
-    return later('the state service does not answer');
+    if (outcome.kind === 'void') return this.ifKnown(spec.Ref, later(OUT));
+    return later(OUT);
   }
 
   /** Jobs whose records no transaction could hold. */
@@ -118,17 +122,24 @@
   /** A job that is known gets its state, whatever else would have been said: accepted once, accepted for ever. */
   private async ifKnown(ref: string, otherwise: Answer): Promise<Answer> {
     const state = await this.ask(ref);
-    if (state === 'no answer') return later('the state service does not answer');
+    if (state === 'no answer') return later(OUT);
     return state === 'unknown' ? otherwise : { status: 200, body: state };
   }
 
+  /** Known on arrival: the store has refused this node, or not answered it, for a while, and has not answered since. */
+  private get isOut(): boolean {
+    const { lastRefusal, lastOk } = this.client;
+    return lastRefusal > lastOk && this.clock.now() - this.replica.freshAt > FRESH_MS;
+  }
+
   async poll(ref: string): Promise<Answer> {
     const state = this.final(ref) ?? (await this.ask(ref));
-    if (state === 'no answer') return later('the state service does not answer');
+    if (state === 'no answer') return later(OUT);
     return state === 'unknown' ? { status: 404, body: { error: 'no such job' } } : { status: 200, body: state };
   }
 
   async withdraw(ref: string): Promise<Answer> {
+    if (this.isOut) return later(OUT);
     const deadline = this.clock.now() + SUBMIT_DEADLINE_MS;
     while (this.clock.now() < deadline) {
       const outcome = await this.committer.commit(
@@ -157,7 +168,7 @@
         return { status: 200, body: { Ref: ref, Phase: state.Phase } };
       }
     }
-    return later('the state service does not answer');
+    return later(OUT);
   }
 
   /** A final state from memory: it never changes. */
@@ -179,6 +190,7 @@
   /** The state as new as the store's own: cached Stamps of all who ask at once are compared in one transaction. */
   private ask(ref: string): Promise<JobState | 'unknown' | 'no answer'> {
     if (!REF.test(ref)) return Promise.resolve('unknown');
+    if (this.isOut) return Promise.resolve('no answer');
     return new Promise((resolve) => {
       this.asked.push({ ref, deadline: this.clock.now() + POLL_DEADLINE_MS, resolve });
       void this.gather();
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -108,7 +108,7 @@
       worker = new Worker(report.host);
       for (const bundle of this.events.knownImages(report.host)) worker.images.set(bundle, 0);
       this.workers.set(report.host, worker);
-      this.log.info({ machine: report.host, role, tenure: report.tenure, flavor: report.flavor }, 'worker heard');
+      this.log.debug({ machine: report.host, role, tenure: report.tenure, flavor: report.flavor }, 'worker heard');
     }
     // A late copy of an older report was sent before the newest that is known: its answer makes no lease any longer.
     if (!worker.isNewer(report)) return { status: 200, body: { Fence: held.fence, Orders: [] } };
@@ -261,7 +261,7 @@
     const now = this.clock.now();
     const began = worker.runningSince.get(key);
     const seconds = (ms: number | undefined) => (ms === undefined ? undefined : Math.round(ms / 100) / 10);
-    this.log.info(
+    this.log.debug(
       {
         machine: worker.host,
         shard: nameOfPlace(place),
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -473,7 +473,7 @@
           if (outcome.kind === 'done') {
             const hosts = [...new Set(group.map((choice) => choice.machine.host))];
             const warm = group.filter(({ machine }) => machine.images.includes(view.record.spec.Bundle)).length;
-            this.log.info({ job: view.ref, role, shards: names.length, warm, machines: hosts }, 'placed');
+            this.log.debug({ job: view.ref, role, shards: names.length, warm, machines: hosts }, 'placed');
           }
           this.poke();
         });
--- a/src/controller/stopper.ts
+++ b/src/controller/stopper.ts
@@ -40,7 +40,7 @@
     const now = this.clock.now();
     for (const [key, at] of this.stoppedAt) if (now - at > STOPPING_MS) this.stoppedAt.delete(key);
     for (const each of places) this.stoppedAt.set(attemptOf(each), now);
-    this.log.info({ job: ref, machine: place.slot.host, shards: places.length, grace, why }, 'stop');
+    this.log.debug({ job: ref, machine: place.slot.host, shards: places.length, grace, why }, 'stop');
     void this.committer.commit('stop', Priority.start, (draft) => {
       if (!this.claims.require(draft, LEADER)) return false;
       let marked = false;
--- a/src/state/committer.ts
+++ b/src/state/committer.ts
@@ -124,6 +124,8 @@
   resolve: (outcome: Outcome) => void;
 }
 
+const isUsers = (priority: Priority): boolean => priority === Priority.withdraw || priority === Priority.accept;
+
 /** Turns intents into few, batched transactions, and tries again after conflicts, refusals and silence. */
 export class Committer {
   private readonly queues = new Map<Priority, Intent[]>(Object.values(Priority).map((each) => [each, []]));
@@ -268,7 +270,9 @@
         break;
       case 'refused':
         this.pausedUntil = this.clock.now() + this.random.jitter(result.status === 429 ? 60 : 300, 0.5);
-        this.again(batch);
+        // A user is told at once what the store has refused for good, instead of waiting here for a deadline.
+        if (result.status !== 429 && isUsers(priority)) for (const intent of batch) intent.resolve({ kind: 'expired' });
+        else this.again(batch);
         break;
       default:
         for (const intent of batch) intent.resolve({ kind: 'void' });
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
-import { Cluster } from '../src/testing/cluster.js';
+import { Cluster, jobOf } from '../src/testing/cluster.js';
 
 let cluster: Cluster;
 afterEach(() => cluster.stop());
@@ -113,6 +113,30 @@
   });
 });
 
+describe('a user in an outage of the store', () => {
+  it('is told at once, not at a deadline, whatever is asked', async () => {
+    await ready(1, 1);
+    await cluster.submit(service);
+    cluster.store.out = true;
+    const jobs = cluster.node(0).jobs;
+    const spec = { ...jobOf(service), Ref: 'j-later' };
+    // In the first moments the store's own refusal is passed on, later it is known on arrival.
+    for (const sinceMs of [0, 5000]) {
+      await cluster.advance(sinceMs);
+      const asked = [jobs.submit(spec), jobs.poll('j-svc'), jobs.withdraw('j-svc')];
+      await cluster.advance(sinceMs === 0 ? 400 : 1);
+      const statuses = await Promise.race([
+        Promise.all(asked).then((answers) => answers.map((answer) => [answer.status, (answer.retryAfter ?? 0) >= 1])),
+        cluster.clock.sleep(0).then(() => 'no answer yet'),
+      ]);
+      assert.deepEqual(
+        statuses,
+        asked.map(() => [503, true]),
+      );
+    }
+  });
+});
+
 describe('a zone that is cut off', () => {
   it('keeps its machines, its tasks start elsewhere when the leases are over, and its machines are used again', async () => {
     await ready(3, 9);
