--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -1,57 +1,41 @@
 import {
   IDLE_RETURN_MS,
   LIST_PERIOD_MS,
-  NO_CAPACITY_MS,
   PREEMPT_PERIOD_MS,
   RENT_PERIOD_MS,
   CATALOG_PERIOD_MS,
   STATUS_PERIOD_MS,
-  MAX_RENT_AT_ONCE,
-  MAX_RESERVE_AT_ONCE,
   RENT_ROUNDS,
-  RESERVE_SHARE,
 } from '../constants.js';
 import type { Settings, Team } from '../config/settings.js';
-import { decodeCatalog, type CloudClient, type Hire, type ListedMachine } from '../cloud/client.js';
+import { decodeCatalog, type CloudClient, type ListedMachine } from '../cloud/client.js';
 import type { Book } from '../ledger/book.js';
 import { freeShard } from '../ledger/edits.js';
-import { flavorKey, hiresKey } from '../ledger/records.js';
-import { zoneAllows, zonesOf } from '../ledger/rules.js';
+import { flavorKey } from '../ledger/records.js';
 import type { Clock } from '../net/clock.js';
 import { Priority } from '../net/token-bucket.js';
 import { machinesToGiveUp, type Watched } from '../placement/silence.js';
-import { belowReserve, bootLimitMs, decideRentals, type Need, type Offer, type Wanted } from '../placement/renting.js';
+import { belowReserve, bootLimitMs } from '../placement/renting.js';
 import type { Committer } from '../state/committer.js';
 import type { Peers } from '../mesh/peers.js';
 import { silenceLimitMs } from '../workers/worker.js';
 import { LEADER, partRole, type Claims } from './claims.js';
 import type { Fleet, MachineInfo } from './fleet.js';
 import type { Log } from './log.js';
-import type { Planner, Waiting } from './planner.js';
+import type { Planner } from './planner.js';
 import { Preempter } from './preempter.js';
+import { Renter } from './renter.js';
 import { Stopper } from './stopper.js';
 
-/** A rental as it is kept: written before the request is sent, so that no leader asks twice for one need. */
-interface HireRecord extends Hire {
-  /** Time of day, ms. */
-  at: number;
-  /** null: not answered yet. */
-  hosts: string[] | null;
-}
-
-const decodeHires = (value: unknown): HireRecord[] =>
-  Array.isArray((value as { hires?: unknown } | undefined)?.hires) ? (value as { hires: HireRecord[] }).hires : [];
-
 /** What the leader does for the whole cluster: catalogue, renting and returning, drains, preemption. */
 export class Leader {
   private readonly teams: Map<string, Team>;
   private listed = new Map<string, ListedMachine>();
-  private readonly noCapacity = new Map<string, number>();
   private readonly idleSince = new Map<string, number>();
   private readonly returning = new Set<string>();
   private readonly stopper: Stopper;
   private readonly preempter: Preempter;
-  private sequence = 0;
+  private readonly renter: Renter;
   private catalogAt = -Infinity;
 
   constructor(
@@ -69,6 +53,7 @@
     this.teams = new Map(settings.cluster.teams.map((team) => [team.name, team]));
     this.stopper = new Stopper(claims, book, committer, clock, log);
     this.preempter = new Preempter(settings, book, fleet, planner, this.stopper, clock);
+    this.renter = new Renter(settings, claims, book, fleet, planner, committer, cloud, clock, log, () => this.listed);
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -77,7 +62,7 @@
       this.every(LIST_PERIOD_MS, signal, () => this.readList()),
       this.every(RENT_PERIOD_MS, signal, async () => {
         // What is refused in one place is asked for in the next at once: a machine takes long enough to boot.
-        for (let round = 0; round < RENT_ROUNDS && (await this.rent()); round++);
+        for (let round = 0; round < RENT_ROUNDS && (await this.renter.round()); round++);
       }),
       this.every(RENT_PERIOD_MS / 4, signal, () => this.tend()),
       this.every(PREEMPT_PERIOD_MS / 2, signal, () => this.preempter.round()),
@@ -151,166 +136,6 @@
     return this.listed;
   }
 
-  private hires(): HireRecord[] {
-    return decodeHires(this.book.record(hiresKey));
-  }
-
-  private async editHires(change: (hires: HireRecord[]) => HireRecord[] | undefined): Promise<boolean> {
-    const outcome = await this.committer.commit('hires', Priority.start, (draft) => {
-      if (!this.claims.require(draft, LEADER)) return false;
-      const next = change(decodeHires(draft.get(hiresKey)));
-      if (next === undefined) return false;
-      draft.set(hiresKey, { hires: next });
-      return true;
-    });
-    return outcome.kind === 'done';
-  }
-
-  /** Waiting tasks by job, with the zones that their job leaves open. */
-  private needs(): Need[] {
-    const byJob = new Map<string, Waiting[]>();
-    for (const each of this.planner.unplaced) byJob.set(each.view.ref, [...(byJob.get(each.view.ref) ?? []), each]);
-    const needs: Need[] = [];
-    for (const [ref, waiting] of byJob) {
-      const view = this.book.jobs.get(ref);
-      if (view === undefined || waiting.some((each) => each.slot.fails > 2)) continue;
-      const { spec } = view.record;
-      const zones = zonesOf([...view.known()].map(([, slot]) => slot));
-      const all = [...new Set([...this.fleet.catalog.values()].flatMap((flavor) => flavor.sites))];
-      const sites = all.filter((site) => zoneAllows(spec, zones, site));
-      needs.push({ spec, tasks: waiting.length, sites: sites.length === all.length ? [] : sites });
-    }
-    return needs;
-  }
-
-  private offers(): Offer[] {
-    const now = this.clock.now();
-    const offers: Offer[] = [];
-    for (const flavor of this.fleet.catalog.values()) {
-      for (const site of flavor.sites) {
-        for (const reclaimable of [false, true]) {
-          const offer = { flavor, site, reclaimable };
-          if ((this.noCapacity.get(offerName(offer)) ?? -Infinity) > now) continue;
-          if (reclaimable && flavor.lowPrice <= 0) continue;
-          offers.push(offer);
-        }
-      }
-    }
-    return offers;
-  }
-
-  /** True: something was refused, so that another look may find another offer. */
-  private async rent(): Promise<boolean> {
-    const hires = this.hires();
-    const wall = this.clock.wall();
-    const heard = this.fleet.all();
-    // First the requests of a former leader, or of a lost answer: the same name gets the same machines.
-    const open = hires.find((hire) => hire.hosts === null);
-    if (open !== undefined) {
-      await this.ask(open);
-      return true;
-    }
-    const over = (hire: HireRecord) =>
-      hire.hosts!.every((host) => heard.has(host) || this.fleet.gone.has(host)) ||
-      wall - hire.at > 2 * bootLimitMs(this.fleet.catalog.get(hire.flavor));
-    if (hires.some(over)) await this.editHires((list) => list.filter((hire) => hire.hosts === null || !over(hire)));
-    const coming: Offer[] = [];
-    const counted = new Set<string>();
-    const expect = (host: string, flavorName: string, site: string, reclaimable: boolean, ageMs: number) => {
-      const flavor = this.fleet.catalog.get(flavorName);
-      // One that takes far longer than others is not counted on, but kept a while in case it comes.
-      if (flavor === undefined || counted.has(host) || heard.has(host) || this.fleet.gone.has(host)) return;
-      if (ageMs > flavor.bootS * 1000 * 2) return;
-      counted.add(host);
-      coming.push({ flavor, site, reclaimable });
-    };
-    for (const hire of hires) {
-      for (const host of hire.hosts ?? []) expect(host, hire.flavor, hire.site, hire.reclaimable, wall - hire.at);
-    }
-    for (const machine of this.listed.values()) {
-      if (machine.phase === 'failed') continue;
-      expect(machine.host, machine.flavor, machine.site, machine.reclaimable, machine.heldS * 1000);
-    }
-    const wanted = decideRentals(this.needs(), this.offers(), coming, MAX_RENT_AT_ONCE);
-    const reserve = wanted.length === 0 ? this.reserve(coming) : undefined;
-    if (reserve !== undefined) wanted.push(reserve);
-    let refused = false;
-    for (const offer of wanted) {
-      const held = this.claims.holding(LEADER);
-      if (held === undefined) return false;
-      const record: HireRecord = {
-        // The leader's fence is unique in the store, so no other node or life ever makes this name.
-        name: `r-${held.fence}-${++this.sequence}`,
-        flavor: offer.flavor.sku,
-        site: offer.site,
-        reclaimable: offer.reclaimable,
-        count: offer.count,
-        at: wall,
-        hosts: null,
-      };
-      if ((await this.editHires((list) => [...list, record])) && !(await this.ask(record))) refused = true;
-    }
-    return refused;
-  }
-
-  /** More machines where free room has become scarce, before tasks have to wait for them. */
-  private reserve(coming: readonly Offer[]): Wanted | undefined {
-    const open = [...this.fleet.all().values()].filter((machine) => this.fleet.isOpen(machine));
-    const rooms = this.planner.rooms(open);
-    const offers = this.offers();
-    const kinds = new Map<string, { free: number; total: number }>();
-    const kindOf = (sku: string) => ((this.fleet.catalog.get(sku)?.cards ?? 0) > 0 ? 'cards' : 'plain');
-    for (const machine of open) {
-      const flavor = this.fleet.catalog.get(machine.flavor)!;
-      const kind = kinds.get(kindOf(flavor.sku)) ?? { free: 0, total: 0 };
-      kind.free += Math.max(0, rooms.get(machine.host)?.cpus ?? 0);
-      kind.total += flavor.cpus;
-      kinds.set(kindOf(flavor.sku), kind);
-    }
-    for (const { flavor } of coming) {
-      const kind = kinds.get(kindOf(flavor.sku));
-      if (kind !== undefined) kind.free += flavor.cpus;
-    }
-    for (const [name, kind] of kinds) {
-      if (!belowReserve(kind.free, kind.total)) continue;
-      const fit = offers.filter((offer) => kindOf(offer.flavor.sku) === name && !offer.reclaimable);
-      const spot = offers.filter((offer) => kindOf(offer.flavor.sku) === name && offer.reclaimable);
-      const count = (site: string) => open.filter((machine) => machine.site === site).length;
-      const best = [...fit].sort(
-        (a, b) => a.flavor.hourly / a.flavor.cpus - b.flavor.hourly / b.flavor.cpus || count(a.site) - count(b.site),
-      )[0];
-      const offer = best ?? spot[0];
-      if (offer === undefined) continue;
-      const missing = Math.ceil((kind.total * RESERVE_SHARE - kind.free) / offer.flavor.cpus);
-      return { ...offer, count: Math.min(MAX_RESERVE_AT_ONCE, Math.max(1, missing)) };
-    }
-    return undefined;
-  }
-
-  /** True: rented in full. */
-  private async ask(record: HireRecord): Promise<boolean> {
-    const result = await this.cloud.rent(record);
-    const flavor = this.fleet.catalog.get(record.flavor);
-    this.log.info({ hire: record.name, flavor: record.flavor, site: record.site, result }, 'rental');
-    if (result.kind === 'rented') {
-      if (result.hosts.length < record.count && flavor !== undefined) {
-        this.noCapacity.set(offerName({ ...record, flavor }), this.clock.now() + NO_CAPACITY_MS);
-      }
-      await this.editHires((list) =>
-        list.map((each) => (each.name === record.name ? { ...each, hosts: result.hosts } : each)),
-      );
-    } else if (result.kind === 'no_capacity' || result.kind === 'malformed') {
-      if (flavor !== undefined) {
-        this.noCapacity.set(offerName({ ...record, flavor }), this.clock.now() + NO_CAPACITY_MS);
-      }
-      await this.editHires((list) => list.filter((each) => each.name !== record.name));
-    } else {
-      // Not answered, or refused for now: the same name is sent again, so nothing is rented twice.
-      await this.clock.sleep(1000);
-    }
-    return result.kind === 'rented' && result.hosts.length === record.count;
-  }
-
   /** Looks after machines: dead, failed, never up, sick, idle, warned. */
   private async tend(): Promise<void> {
     const now = this.clock.now();
@@ -437,6 +262,3 @@
     }
   }
 }
-
-const offerName = (offer: { flavor: { sku: string }; site: string; reclaimable: boolean }): string =>
-  `${offer.flavor.sku} ${offer.site} ${offer.reclaimable}`;
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -4,16 +4,13 @@
   PEER_WORD_MS,
   PUSH_GATHER_MS,
   RAISE_PAUSE_MS,
-  RELIEVE_FACTOR,
   SEND_HOME_MS,
-  SIBLINGS_KNOWN,
   SILENT_REPORTS,
-  STRAGGLER_FACTOR,
   SWEEP_MS,
 } from '../constants.js';
 import type { Settings, Team } from '../config/settings.js';
 import type { Book, Place } from '../ledger/book.js';
-import { freeShard, stopShard } from '../ledger/edits.js';
+import { freeShard } from '../ledger/edits.js';
 import { parseShard } from '../ledger/records.js';
 import type { Clock } from '../net/clock.js';
 import type { HttpClient } from '../net/http-client.js';
@@ -35,6 +32,7 @@
 import { leaseOverAt, Worker } from '../workers/worker.js';
 import { holdOverMs, partRole, type Claims, type Held } from './claims.js';
 import type { Log } from './log.js';
+import { Stragglers } from './stragglers.js';
 
 export type HelloAnswer =
   | { status: 200; body: { Fence: number; Orders: unknown[] } }
@@ -66,6 +64,7 @@
   readonly knocks = new Map<string, number>();
   private readonly strandedSince = new Map<string, number>();
   private readonly teams: Map<string, Team>;
+  private readonly stragglers: Stragglers;
   private readonly pushes = new Set<string>();
   private readonly raisedAt = new Map<string, number>();
   /** Attempts whose end is handed to the ledger and not yet recorded, also on machines that this node has never heard. */
@@ -83,6 +82,7 @@
     private readonly log: Log,
   ) {
     this.teams = new Map(settings.cluster.teams.map((team) => [team.name, team]));
+    this.stragglers = new Stragglers(claims, book, committer, clock, log);
   }
 
   roleOf(host: string): string {
@@ -118,7 +118,7 @@
     worker.take(report, now, true);
     this.noteImages(worker);
     this.events.checked(report);
-    this.noteStragglers(worker);
+    this.stragglers.look(worker);
     const plan = reconcile(worker, this.desiredOn(report.host), this.rights(held, true));
     this.carryOut(worker, role, plan);
     const orders: unknown[] = [];
@@ -188,58 +188,6 @@
     }
   }
 
-  /** How long the finished tasks of a job ran on this node's machines. */
-  private readonly siblings = new Map<string, { count: number; meanMs: number }>();
-
-  private compare(worker: Worker, place: Place, ranMs: number): void {
-    // A task that goes on from a checkpoint has less left to run, and says nothing about others.
-    if (place.slot.attempt > 1) return;
-    const known = this.siblings.get(place.ref) ?? { count: 0, meanMs: 0 };
-    if (known.count >= SIBLINGS_KNOWN && this.isHalfDone(place.ref)) {
-      worker.noteRatio(attemptOf(place), ranMs / known.meanMs, this.clock.now());
-    }
-    const count = known.count + 1;
-    this.siblings.set(place.ref, { count, meanMs: known.meanMs + (ranMs - known.meanMs) / count });
-  }
-
-  /** The first to finish are the short ones: compared with them alone, the other half would all seem slow. */
-  private isHalfDone(ref: string): boolean {
-    const view = this.book.jobs.get(ref);
-    return view !== undefined && view.done * 2 >= view.record.spec.Shards;
-  }
-
-  /** Tasks that run far longer than their finished siblings show that their machine is slow, before they end. */
-  private noteStragglers(worker: Worker): void {
-    const now = this.clock.now();
-    for (const [key, since] of worker.runningSince) {
-      const ref = key.slice(0, key.lastIndexOf('/'));
-      const known = this.siblings.get(ref);
-      if (known === undefined || known.count < SIBLINGS_KNOWN || !key.endsWith('#1') || !this.isHalfDone(ref)) continue;
-      if (now - since > STRAGGLER_FACTOR * known.meanMs) worker.noteRatio(key, (now - since) / known.meanMs, now);
-    }
-  }
-
-  /** Starts anew elsewhere what would take longer to end on a slow machine; services move by their happiness only. */
-  private relieve(worker: Worker, now: number): void {
-    if (!worker.isSlow(now) || !this.claims.inTouch) return;
-    const role = this.roleOf(worker.host);
-    for (const place of [...this.book.placesOn(worker.host)]) {
-      const spec = this.book.jobs.get(place.ref)?.record.spec;
-      const key = attemptOf(place);
-      const since = worker.runningSince.get(key);
-      const mean = this.siblings.get(place.ref)?.meanMs ?? (spec?.GuessS ?? 0) * 1000;
-      if (spec?.Shape !== 'array' || place.slot.stop !== null || since === undefined) continue;
-      if (now - since > RELIEVE_FACTOR * mean || worker.relieved.has(key)) continue;
-      worker.relieved.add(key);
-      this.log.info({ shard: nameOfPlace(place), machine: worker.host }, 'taken off a slow machine');
-      const grace = spec.SnapshotEveryS > 0 ? spec.SnapshotS : 0;
-      void this.committer.commit('relieve', Priority.background, (draft) => {
-        if (!this.claims.require(draft, role)) return false;
-        return stopShard(draft, place.ref, place.shard, worker.host, place.slot.attempt, grace);
-      });
-    }
-  }
-
   private carryOut(worker: Worker, role: string, plan: Plan): void {
     for (const free of plan.frees) this.record(worker, role, free);
     if (plan.needsRaise) this.raise(role);
@@ -279,7 +227,7 @@
     }
     if (ending === 'done' && began !== undefined) {
       this.events.completed(place, (now - began) / 1000);
-      this.compare(worker, place, now - began);
+      this.stragglers.compare(worker, place, now - began);
     }
     const batch = this.book.jobs.get(place.ref)?.record.spec.Shape === 'array';
     const stopped = place.slot.stop !== null || this.book.jobs.get(place.ref)?.record.phase !== 'active';
@@ -380,8 +328,7 @@
         this.record(worker, role, { place, proof: { kind: 'lease' }, ending: 'lost', task: undefined });
       }
     }
-    for (const ref of this.siblings.keys()) if (!this.book.jobs.has(ref)) this.siblings.delete(ref);
-    for (const worker of this.workers.values()) this.relieve(worker, now);
+    this.stragglers.relieve(this.workers.values(), (host) => this.roleOf(host));
     for (const [host, worker] of this.workers) {
       const gone = this.claims.holding(this.roleOf(host)) === undefined;
       const old = now - worker.heardAt > 10 * this.settings.cluster.workers.lease_s * 1000;
