--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -1,6 +1,4 @@
 import {
-  CARDS_TIER,
-  FETCH_TIER_S,
   MAX_PLAN_TASKS,
   MAX_UNPLACED,
   PLAN_GATHER_MS,
@@ -9,34 +7,25 @@
   RATIO_WEIGHT,
   RETRY_BASE_MS,
   RETRY_MAX_MS,
-  SAMPLE_MACHINES,
-  WARM_WAIT_MS,
   WORK_SHARE,
 } from '../constants.js';
 import type { Settings, Team, Tuning } from '../config/settings.js';
 import type { Book, JobView } from '../ledger/book.js';
 import { startShard } from '../ledger/edits.js';
-import { RANKS, shardName, type JobSpec, type Slot, type TeamRecord } from '../ledger/records.js';
-import { fits, quotaAllows, roomOf, takeRoom, zoneAllows, zonesOf, type Room } from '../ledger/rules.js';
+import { shardName, type JobSpec, type TeamRecord } from '../ledger/records.js';
+import { quotaAllows, takeRoom, type Room } from '../ledger/rules.js';
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
 import { Priority } from '../net/token-bucket.js';
-import { match, type Host, type Seeker } from '../placement/matching.js';
 import { before, isFeasible, targetsOf, withinGuarantee, type Candidate } from '../placement/queue.js';
-import { roomOfFlavor, tasksIn } from '../placement/renting.js';
+import { roomOfFlavor } from '../placement/renting.js';
 import type { Committer, Draft } from '../state/committer.js';
 import { LEADER, partRole, type Claims } from './claims.js';
 import type { Fleet, MachineInfo } from './fleet.js';
 import type { Log } from './log.js';
+import { isLarge, Placer, type Waiting } from './placer.js';
 import { Pools } from './pools.js';
 
-/** A shard that waits for a place. */
-export interface Waiting {
-  view: JobView;
-  shard: number;
-  slot: Extract<Slot, { kind: 'queued' }>;
-}
-
 interface Flight {
   host: string;
   spec: JobSpec;
@@ -53,38 +42,35 @@
   private readonly flights = new Map<string, Flight>();
   /** Run time over estimate, by class. */
   private readonly ratios = new Map<string, number>();
-  private readonly warmSince = new Map<string, number>();
   private readonly brokenGangs = new Map<string, number>();
   private readonly failures = new Map<string, { fails: number; until: number }>();
   private readonly teams: Map<string, Team>;
+  private readonly placer: Placer;
   private signal: AbortSignal | undefined;
   private poked = false;
   /** Steady ms before which no other plan is made. */
   private restUntil = -Infinity;
-  /** Tasks matched in the run under way. */
-  private matched = 0;
   /** What found no place in the leader's last round: what machines are rented and tasks preempted for. */
   unplaced: Waiting[] = [];
 
   constructor(
     private readonly settings: Settings,
-    private readonly tuning: Tuning,
+    tuning: Tuning,
     private readonly claims: Claims,
     private readonly book: Book,
     private readonly fleet: Fleet,
     private readonly committer: Committer,
     private readonly clock: Clock,
-    private readonly random: Random,
+    random: Random,
     private readonly log: Log,
   ) {
     this.teams = new Map(settings.cluster.teams.map((team) => [team.name, team]));
+    this.placer = new Placer(tuning, book, fleet, clock, random);
   }
 
-  private readonly preferred = new Map<string, string>();
-
-  /** The machine that a moved task was matched to; it goes there if there still is room. */
+  /** The machine that a moved task was matched to. */
   prefer(name: string, host: string): void {
-    this.preferred.set(name, host);
+    this.placer.prefer(name, host);
   }
 
   /** A task has run to its end: estimates of a class are often wrong all in the same direction. */
@@ -138,11 +124,6 @@
     return uses;
   }
 
-  /** Jobs that the leader places: their tasks depend on each other, or need more than a part. */
-  isLarge(spec: JobSpec): boolean {
-    return spec.Shape === 'ensemble' || spec.OneZone || spec.Spread;
-  }
-
   private pausedUntil(name: string, slot: Waiting['slot'], now: number): number {
     if (slot.fails === 0) return 0;
     const known = this.failures.get(name);
@@ -222,16 +203,16 @@
     const uses = this.uses();
     const pools = new Pools(machines, (host) => this.claims.partOf(host));
     const unplaced: Waiting[] = [];
-    this.matched = 0;
+    this.placer.begin();
     for (const { record } of this.candidates()) {
       const { spec } = record;
       // Behind so many that wait already, a look at a few tells whether the job's tasks still fit somewhere.
-      const most = unplaced.length < MAX_UNPLACED || this.isLarge(spec) ? MAX_PLAN_TASKS : PLAN_GLANCE;
+      const most = unplaced.length < MAX_UNPLACED || isLarge(spec) ? MAX_PLAN_TASKS : PLAN_GLANCE;
       const waiting = this.waiting(this.book.jobs.get(spec.Ref)!, most);
       if (waiting.length === 0) continue;
       // Every node makes the whole plan and commits only what is its own: so it keeps the room that others will take, and
       // what is freed for a service does not go to the next batch task.
-      if (this.isLarge(spec)) {
+      if (isLarge(spec)) {
         this.place(waiting, pools.allowed(spec), rooms, uses, leader ? LEADER : undefined, unplaced);
         continue;
       }
@@ -271,183 +252,33 @@
       allowed++;
     }
     if (gang && allowed < waiting.length) return;
-    const usable = this.withRoom(spec, this.warmOnly(waiting, machines, rooms), rooms, allowed);
-    // A full cluster is the usual case under load: nothing is matched where nothing fits, and no more than fits at all.
-    const most = gang && usable.tasks < allowed ? 0 : usable.tasks;
-    if (most === 0) {
-      left.push(...waiting.slice(0, allowed));
-      return;
-    }
-    this.matched += most;
-    const seekers: Seeker[] = waiting.slice(0, most).map((each) => ({
-      id: shardName(view.ref, each.shard),
-      group: view.ref,
-      use: roomOf(spec),
-      peak: roomOf(spec),
-    }));
-    const byHost = new Map(usable.machines.map((machine) => [machine.host, machine]));
-    const slots = zonesOf([...view.known()].map(([, slot]) => slot));
-    for (const flight of this.flights.values()) {
-      if (flight.spec.Ref !== view.ref) continue;
-      const site = this.fleet.get(flight.host)?.site;
-      if (site !== undefined) slots.set(site, (slots.get(site) ?? 0) + 1);
-    }
-    const hosts: Host[] = usable.machines.map((machine) => ({
-      id: machine.host,
-      site: machine.site,
-      free: rooms.get(machine.host)!,
-    }));
-    const preferred = new Set(seekers.map(({ id }) => this.preferred.get(id)));
-    const tier = (host: Host) => (preferred.has(host.id) ? -1 : this.tier(spec, byHost.get(host.id)!));
-    let best = new Map<string, Host>();
-    if (spec.Shape === 'service') {
-      const isWarm = (host: Host) => byHost.get(host.id)!.images.includes(spec.Bundle);
-      best = this.matchApart(spec, seekers, hosts, slots, tier, isWarm);
-    } else {
-      const oneOf = spec.OneZone && slots.size === 0 && spec.Shards > 1;
-      for (const zone of oneOf ? new Set(hosts.map((host) => host.site)) : [undefined]) {
-        const open = zone === undefined ? hosts : hosts.filter((host) => host.site === zone);
-        const found = this.matchInZones(spec, seekers, open, slots, tier);
-        if (found.size > best.size) best = found;
-      }
-    }
-    if (gang && best.size < waiting.length) best = new Map();
+    const found = this.placer.find(waiting.slice(0, allowed), machines, rooms, this.sitesOf(spec.Ref));
+    // A gang starts whole or not at all.
+    const best = gang && found.size < waiting.length ? new Map<string, MachineInfo>() : found;
     const choices: Choice[] = [];
     for (const [index, each] of waiting.entries()) {
-      const host = best.get(shardName(view.ref, each.shard));
-      if (host === undefined) {
+      const machine = best.get(shardName(view.ref, each.shard));
+      if (machine === undefined) {
         if (index < allowed) left.push(each);
         continue;
       }
-      choices.push({ waiting: each, machine: byHost.get(host.id)!, attempt: attempt ?? each.slot.attempt + 1 });
-      takeRoom(rooms.get(host.id)!, spec);
+      choices.push({ waiting: each, machine, attempt: attempt ?? each.slot.attempt + 1 });
+      takeRoom(rooms.get(machine.host)!, spec);
       use.cpus += spec.Cpus;
       use.cards += spec.Cards;
     }
     if (choices.length > 0 && role !== undefined) this.commit(view, choices, role, team, gang);
   }
 
-  /** The machines that have room for a task, and how many tasks they have room for, counted up to `enough`. */
-  private withRoom(
-    spec: JobSpec,
-    machines: readonly MachineInfo[],
-    rooms: ReadonlyMap<string, Room>,
-    enough: number,
-  ): { machines: MachineInfo[]; tasks: number } {
-    const open: MachineInfo[] = [];
-    let tasks = 0;
-    for (const machine of machines) {
-      const room = rooms.get(machine.host)!;
-      if (!fits(spec, room) || machine.failedJobs.includes(spec.Ref)) continue;
-      open.push(machine);
-      tasks += tasksIn(room, spec);
-    }
-    // With more to place than one run takes, a sample of many machines will do; what hangs together needs them all.
-    const busy = this.matched >= MAX_PLAN_TASKS && !this.isLarge(spec);
-    const usable = busy ? this.random.sample(open, SAMPLE_MACHINES) : open;
-    return { machines: usable, tasks: Math.min(tasks, enough) };
-  }
-
-  private matchInZones(
-    spec: JobSpec,
-    seekers: readonly Seeker[],
-    hosts: readonly Host[],
-    slots: ReadonlyMap<string, number>,
-    tier: (host: Host) => number,
-    hostAllows: (host: Host, taken: number) => boolean = () => true,
-  ): Map<string, Host> {
-    return match(seekers, hosts, {
-      allowed: () => true,
-      zoneAllows: (_, site, taken) => {
-        const total = new Map(slots);
-        for (const [each, count] of taken) total.set(each, (total.get(each) ?? 0) + count);
-        return zoneAllows(spec, total, site);
-      },
-      hostAllows: (_, host, taken) => hostAllows(host, taken),
-      tier: (_, host) => tier(host),
-    });
-  }
-
-  /**
-   * Replicas go to as many machines as there are: a machine's loss then costs a service less, and more machines hold its
-   * image when the next service comes. But two share a machine with the image rather than wait for a fetch.
-   */
-  private matchApart(
-    spec: JobSpec,
-    seekers: readonly Seeker[],
-    hosts: readonly Host[],
-    slots: ReadonlyMap<string, number>,
-    tier: (host: Host) => number,
-    isWarm: (host: Host) => boolean,
-  ): Map<string, Host> {
-    const found = new Map<string, Host>();
-    const zones = new Map(slots);
-    const here = new Map<string, number>();
-    const free = hosts.map((host) => ({ ...host, free: { ...host.free } }));
-    for (const host of free) here.set(host.id, this.siblingsOn(spec.Ref, host.id));
-    for (const open of [free.filter(isWarm), free]) {
-      for (let most = 1; most <= spec.Shards; most++) {
-        const rest = seekers.filter((seeker) => !found.has(seeker.id));
-        if (rest.length === 0) return found;
-        const allows = (host: Host, taken: number) => here.get(host.id)! + taken < most;
-        const matched = this.matchInZones(spec, rest, open, zones, tier, allows);
-        // No siblings in the way, and still no place: more of them on one machine won't help.
-        if (matched.size === 0 && open.every((host) => here.get(host.id)! < most)) break;
-        for (const [id, host] of matched) {
-          found.set(id, host);
-          takeRoom(host.free, spec);
-          here.set(host.id, here.get(host.id)! + 1);
-          zones.set(host.site, (zones.get(host.site) ?? 0) + 1);
-        }
-      }
+  /** Zones that a job's flying starts will take. */
+  private sitesOf(ref: string): string[] {
+    const sites: string[] = [];
+    for (const flight of this.flights.values()) {
+      if (flight.spec.Ref !== ref) continue;
+      const site = this.fleet.get(flight.host)?.site;
+      if (site !== undefined) sites.push(site);
     }
-    return found;
-  }
-
-  private siblingsOn(ref: string, host: string): number {
-    let count = 0;
-    for (const place of this.book.placesOn(host)) if (place.ref === ref) count++;
-    return count;
-  }
-
-  /** Extensions of the distance: what speaks against a machine, whatever its distance. */
-  private tier(spec: JobSpec, machine: MachineInfo): number {
-    const flavor = this.fleet.catalog.get(machine.flavor);
-    const fetchS = spec.SizeGb / (flavor?.fetchGbPerS || 1);
-    let tier = machine.images.includes(spec.Bundle) ? 0 : this.tuning.image_bonus * (1 + fetchS / FETCH_TIER_S);
-    // Cards are scarce: what needs none leaves their machines to what does.
-    if (spec.Cards === 0 && (flavor?.cards ?? 0) > 0) tier += CARDS_TIER;
-    return tier;
-  }
-
-  /**
-   * For a service, a machine that holds its image is worth stopping lower work for: the fetch takes longer. So for a
-   * moment only such machines count, if there are any that could be made free.
-   */
-  private warmOnly(
-    waiting: Waiting[],
-    machines: readonly MachineInfo[],
-    rooms: ReadonlyMap<string, Room>,
-  ): readonly MachineInfo[] {
-    const { view } = waiting[0]!;
-    const { spec } = view.record;
-    if (spec.Shape !== 'service' || spec.Rank !== 'prod') return machines;
-    const now = this.clock.now();
-    const since = this.warmSince.get(view.ref) ?? now;
-    this.warmSince.set(view.ref, since);
-    if (now - since > WARM_WAIT_MS) return machines;
-    const warm = machines.filter((machine) => {
-      if (!machine.images.includes(spec.Bundle)) return false;
-      const room = { ...rooms.get(machine.host)! };
-      for (const place of this.book.placesOn(machine.host)) {
-        const other = this.book.jobs.get(place.ref)?.record.spec;
-        if (other !== undefined && RANKS.indexOf(other.Rank) > RANKS.indexOf(spec.Rank)) takeRoom(room, other, -1);
-      }
-      return fits(spec, room);
-    });
-    const zones = new Set(warm.map((machine) => machine.site));
-    // Zones without such a machine are open to cold ones: the spread may need them.
-    return warm.length === 0 ? machines : machines.filter((each) => warm.includes(each) || !zones.has(each.site));
+    return sites;
   }
 
   private commit(view: JobView, choices: Choice[], role: string, team: Team, whole: boolean): void {
@@ -468,7 +299,7 @@
         .then((outcome) => {
           for (const name of names) {
             this.flights.delete(name);
-            if (outcome.kind === 'done') this.preferred.delete(name);
+            if (outcome.kind === 'done') this.placer.placed(name);
           }
           if (outcome.kind === 'done') {
             const hosts = [...new Set(group.map((choice) => choice.machine.host))];
@@ -506,10 +337,6 @@
 
   private round(): void {
     const began = this.clock.now();
-    for (const [ref] of this.warmSince) {
-      const view = this.book.jobs.get(ref);
-      if (view === undefined || view.placed === view.record.spec.Shards) this.warmSince.delete(ref);
-    }
     for (const [name, failure] of this.failures) if (began > failure.until + RETRY_MAX_MS) this.failures.delete(name);
     this.plan();
     const now = this.clock.now();
--- a/src/controller/preempter.ts
+++ b/src/controller/preempter.ts
@@ -15,7 +15,8 @@
   type Victim,
 } from '../placement/victims.js';
 import type { Fleet, MachineInfo } from './fleet.js';
-import type { Planner, Waiting } from './planner.js';
+import type { Waiting } from './placer.js';
+import type { Planner } from './planner.js';
 import type { Stopper } from './stopper.js';
 
 type MachineField = Field<MachineInfo>;
--- a/src/controller/renter.ts
+++ b/src/controller/renter.ts
@@ -17,7 +17,8 @@
 import { LEADER, type Claims } from './claims.js';
 import type { Fleet } from './fleet.js';
 import type { Log } from './log.js';
-import type { Planner, Waiting } from './planner.js';
+import type { Waiting } from './placer.js';
+import type { Planner } from './planner.js';
 
 /** A rental as it is kept: written before the request is sent, so that no leader asks twice for one need. */
 interface HireRecord extends Hire {
