--- a/src/controller/fleet.ts
+++ b/src/controller/fleet.ts
@@ -35,6 +35,8 @@
   warnedUntil: number | null;
   sick: boolean;
   cooling: boolean;
+  /** Nothing shows that answers reach it. */
+  unreached: boolean;
   slow: boolean;
   /** Its reports arrive, but answers have not reached it for a lease. */
   mute: boolean;
@@ -112,7 +114,8 @@
       heardAt: worker.heardAt,
       warnedUntil: worker.warnedUntil,
       sick: worker.isSick(now),
-      cooling: now < worker.coolUntil || !worker.isReached,
+      cooling: now < worker.coolUntil,
+      unreached: !worker.isReached,
       slow: worker.isSlow(now),
       mute: worker.isMute(now, this.settings.cluster.workers.lease_s),
       images: [...worker.images.keys()],
@@ -188,14 +191,18 @@
 
   /** May new work go there? */
   isOpen(machine: MachineInfo): boolean {
-    return (
-      this.catalog.has(machine.flavor) &&
-      machine.warnedUntil === null &&
-      !machine.sick &&
-      !machine.slow &&
-      !machine.cooling &&
-      !this.leaving.has(machine.host) &&
-      !this.isSilent(machine)
-    );
+    return this.whyClosed(machine) === undefined;
+  }
+
+  /** Why no new work may go there. */
+  whyClosed(machine: MachineInfo): string | undefined {
+    if (!this.catalog.has(machine.flavor)) return 'unknown type';
+    if (machine.warnedUntil !== null) return 'warned';
+    if (machine.sick) return 'sick';
+    if (machine.slow) return 'slow';
+    if (machine.unreached) return 'unreached';
+    if (machine.cooling) return 'cooling';
+    if (this.leaving.has(machine.host)) return 'leaving';
+    return this.isSilent(machine) ? 'silent' : undefined;
   }
 }
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -91,13 +91,18 @@
       total += this.fleet.catalog.get(this.fleet.get(host)!.flavor)!.cpus;
       free += room.cpus;
     }
+    const closed: Record<string, number> = {};
+    for (const machine of machines) {
+      const why = this.fleet.whyClosed(machine);
+      if (why !== undefined) closed[why] = (closed[why] ?? 0) + 1;
+    }
     const waiting: Record<string, number> = {};
     for (const { view } of this.planner.unplaced) {
       const { Rank } = view.record.spec;
       waiting[Rank] = (waiting[Rank] ?? 0) + 1;
     }
     this.log.info(
-      { machines: machines.length, open: open.length, cpus: total, free: Math.round(free), waiting },
+      { machines: machines.length, open: open.length, closed, cpus: total, free: Math.round(free), waiting },
       'status',
     );
   }
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -110,11 +110,12 @@
       this.workers.set(report.host, worker);
       this.log.debug({ machine: report.host, role, tenure: report.tenure, flavor: report.flavor }, 'worker heard');
     }
-    // A late copy of an older report was sent before the newest that is known: its answer makes no lease any longer.
-    if (!worker.isNewer(report)) return { status: 200, body: { Fence: held.fence, Orders: [] } };
+    // A late copy was sent before the newest report that is known: its answer makes no lease any longer.
+    if (worker.isLate(report)) return { status: 200, body: { Fence: held.fence, Orders: [] } };
     const newSession = report.tenure > worker.tenure && worker.tenure > 0;
     if (newSession) this.log.info({ machine: report.host, tenure: report.tenure }, 'worker began a new session');
     worker.noteAnswer(report, held.fence, door, this.settings.cluster.workers.report_s, now);
+    // A report that crossed a newer answer of `/commands` is no late copy: the worker waits for its answer.
     worker.take(report, now, true);
     this.noteImages(worker);
     this.events.checked(report);
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -36,6 +36,7 @@
   warnedMs: number | null;
   sick: boolean;
   cooling: boolean;
+  unreached: boolean;
   slow: boolean;
   /** Its reports arrive, but answers have not reached it for a lease. */
   mute: boolean;
@@ -74,6 +75,7 @@
             { name: 'warnedMs', type: ['null', 'double'] },
             { name: 'sick', type: 'boolean' },
             { name: 'cooling', type: 'boolean' },
+            { name: 'unreached', type: 'boolean' },
             { name: 'slow', type: 'boolean' },
             { name: 'mute', type: 'boolean' },
             { name: 'images', type: { type: 'array', items: 'string' } },
--- a/src/workers/worker.ts
+++ b/src/workers/worker.ts
@@ -21,6 +21,8 @@
   reclaimable = false;
   tenure = 0;
   tick = -1;
+  /** The newest report by `/hello`; answers of `/commands` may have brought newer ones. */
+  private hello = { tenure: 0, tick: -1 };
   /** Highest fence that the worker has shown. */
   fence = 0;
   /** Steady ms of the receipt of the last report that was answered with 200. */
@@ -65,7 +67,13 @@
 
   constructor(readonly host: string) {}
 
-  isNewer(report: Report): boolean {
+  /** A copy of a report that was answered before, or one of a session that is over. */
+  isLate(report: Report): boolean {
+    const { tenure, tick } = this.hello;
+    return report.tenure < this.tenure || report.tenure < tenure || (report.tenure === tenure && report.tick <= tick);
+  }
+
+  private isNewer(report: Report): boolean {
     return report.tenure > this.tenure || (report.tenure === this.tenure && report.tick > this.tick);
   }
 
@@ -99,6 +107,7 @@
    * from a healthy one by its next report at the earliest.
    */
   noteAnswer(report: Report, fence: number, door: string | undefined, reportS: number, now: number): void {
+    this.hello = { tenure: report.tenure, tick: report.tick };
     this.firstFence ??= fence;
     if (this.confirmedAt === -Infinity) this.confirmedAt = now;
     const inTime = now - this.answeredAt <= 1.25 * reportS * 1000 + ANSWER_MISSED_MS;
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
 import { Cluster, jobOf } from '../src/testing/cluster.js';
+import { decodeReport } from '../src/workers/report.js';
+import { Worker } from '../src/workers/worker.js';
 
 let cluster: Cluster;
 afterEach(() => cluster.stop());
@@ -51,6 +53,31 @@
   });
 });
 
+describe('a report that crosses a newer answer of a command', () => {
+  it('is no late copy: its worker gets its orders, and counts as reached', async () => {
+    await ready(1, 1);
+    const worker = cluster.workers.get('i-000000')!;
+    const crossing = worker.report();
+    await cluster.submit(service);
+    const { tick } = cluster.node(0).owner.workers.get('i-000000')!;
+    assert.ok(tick > (crossing['Tick'] as number), 'a command has been answered since');
+    const known = new Worker('i-000000');
+    const report = decodeReport(crossing)!;
+    known.take({ ...report, tick: report.tick + 5 }, 100, false);
+    assert.equal(known.isLate(report), false);
+    known.noteAnswer(report, 1, undefined, 1, 100);
+    assert.equal(known.isLate(report), true);
+    for (let n = 1; n <= 5; n++) {
+      // Every report crosses a command's answer; the worker is with this node and in time all the same.
+      const next = { ...report, tick: report.tick + n, fence: 1 };
+      assert.equal(known.isLate(next), false);
+      known.noteAnswer(next, 1, undefined, 1, 100 + n * 1000);
+      known.take({ ...next, tick: next.tick + 50 }, 100 + n * 1000, false);
+      assert.equal(known.isReached, true);
+    }
+  });
+});
+
 describe('a late copy of a report', () => {
   it('is no sign of life: the machine is given back as soon as without it', async () => {
     await ready(3, 4);
