--- a/src/controller/fleet.ts
+++ b/src/controller/fleet.ts
@@ -185,8 +185,13 @@
 
   isSilent(machine: MachineInfo): boolean {
     const allowed = SILENT_REPORTS * this.settings.cluster.workers.report_s * 1000;
-    const own = this.heldFor(machine.host) !== undefined;
-    return this.clock.now() - machine.heardAt > allowed + (own ? 0 : GOSSIP_STALE_MS / 2);
+    const now = this.clock.now();
+    if (this.heldFor(machine.host) !== undefined) return now - machine.heardAt > allowed;
+    const knownAt = this.knownAt.get(machine.host) ?? -Infinity;
+    const owner = this.claims.ownerOf(partRole(this.claims.partOf(machine.host)));
+    // No word of an owner that still holds its claim: nodes don't hear each other, which says nothing of its machines.
+    if (now - knownAt > GOSSIP_STALE_MS && owner === machine.owner) return knownAt - machine.heardAt > allowed;
+    return now - machine.heardAt > allowed + GOSSIP_STALE_MS / 2;
   }
 
   /** May new work go there? */
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -18,7 +18,7 @@
 import { belowReserve, bootLimitMs } from '../placement/renting.js';
 import type { Committer } from '../state/committer.js';
 import type { Peers } from '../mesh/peers.js';
-import { silenceLimitMs } from '../workers/worker.js';
+import { reportLateMs, silenceLimitMs } from '../workers/worker.js';
 import { LEADER, partRole, type Claims } from './claims.js';
 import type { Fleet, MachineInfo } from './fleet.js';
 import type { Log } from './log.js';
@@ -194,7 +194,8 @@
       const age = now - machine.heardAt;
       // A mute machine's lease has run out, so nothing runs there any more; only its being gone proves that at once.
       const silent = machine.mute || (age > limit && !this.knocked(machine));
-      watched.push({ host: machine.host, part, site: machine.site, silentMs: silent ? Math.max(age, 1) : 0 });
+      const quiet = silent || age > reportLateMs(this.settings.cluster.workers);
+      watched.push({ host: machine.host, part, site: machine.site, silentMs: silent ? Math.max(age, 1) : 0, quiet });
     }
     return machinesToGiveUp(watched);
   }
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -29,7 +29,7 @@
   type Rights,
 } from '../workers/reconcile.js';
 import { encodeOrder, type Report } from '../workers/report.js';
-import { leaseOverAt, Worker } from '../workers/worker.js';
+import { leaseOverAt, reportLateMs, Worker } from '../workers/worker.js';
 import { holdOverMs, partRole, type Claims, type Held } from './claims.js';
 import type { Log } from './log.js';
 import { Stragglers } from './stragglers.js';
@@ -114,7 +114,7 @@
     if (worker.isLate(report)) return { status: 200, body: { Fence: held.fence, Orders: [] } };
     const newSession = report.tenure > worker.tenure && worker.tenure > 0;
     if (newSession) this.log.info({ machine: report.host, tenure: report.tenure }, 'worker began a new session');
-    worker.noteAnswer(report, held.fence, door, this.settings.cluster.workers.report_s, now);
+    worker.noteAnswer(report, held.fence, door, reportLateMs(this.settings.cluster.workers), now);
     // A report that crossed a newer answer of `/commands` is no late copy: the worker waits for its answer.
     worker.take(report, now, true);
     this.noteImages(worker);
--- a/src/placement/silence.ts
+++ b/src/placement/silence.ts
@@ -7,10 +7,12 @@
   site: string;
   /** ms for which nothing has shown that it lives and can be reached; 0: it does and can. */
   silentMs: number;
+  /** It is late with a report, or worse. */
+  quiet: boolean;
 }
 
 interface Group {
-  silent: number;
+  quiet: number;
   total: number;
 }
 
@@ -18,20 +20,21 @@
   const groups = new Map<K, Group>();
   for (const machine of machines) {
     const key = keyOf(machine);
-    const group = groups.get(key) ?? { silent: 0, total: 0 };
+    const group = groups.get(key) ?? { quiet: 0, total: 0 };
     group.total++;
-    if (machine.silentMs > 0) group.silent++;
+    if (machine.quiet) group.quiet++;
     groups.set(key, group);
   }
   return groups;
 };
 
-const few = ({ silent, total }: Group, share: number): boolean => silent <= Math.max(2, total * share);
+const few = ({ quiet, total }: Group, share: number): boolean => quiet <= Math.max(2, total * share);
 
 /**
  * Silent machines that are to be given back. Where most of a part are silent, its owner is the one that can't be reached.
  * Where most of a zone are, the zone is cut off: its machines come back with their images when the cut ends, new ones could
- * not be reached either, and what ran there is free when the leases are over.
+ * not be reached either, and what ran there is free when the leases are over. Since reports come at different times, the
+ * first machine to count as silent is judged by how many others are late already.
  */
 export function machinesToGiveUp(machines: readonly Watched[]): string[] {
   const parts = grouped(machines, (machine) => machine.part);
--- a/src/workers/worker.ts
+++ b/src/workers/worker.ts
@@ -106,11 +106,11 @@
    * that waits in vain tries other nodes first. So a machine whose reports arrive, but which no answer reaches, is told
    * from a healthy one by its next report at the earliest.
    */
-  noteAnswer(report: Report, fence: number, door: string | undefined, reportS: number, now: number): void {
+  noteAnswer(report: Report, fence: number, door: string | undefined, lateMs: number, now: number): void {
     this.hello = { tenure: report.tenure, tick: report.tick };
     this.firstFence ??= fence;
     if (this.confirmedAt === -Infinity) this.confirmedAt = now;
-    const inTime = now - this.answeredAt <= 1.25 * reportS * 1000 + ANSWER_MISSED_MS;
+    const inTime = now - this.answeredAt <= lateMs;
     const showsMore = report.fence > this.fence;
     if (this.answeredAt > -Infinity) {
       this.missed = !showsMore && !(inTime && door === this.door);
@@ -209,6 +209,10 @@
 export const leaseOverAt = (lastAnswerableMs: number, leaseS: number): number =>
   lastAnswerableMs + leaseS * 1000 * (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS;
 
+/** ms after a report by which the next is late. */
+export const reportLateMs = (workers: Settings['cluster']['workers']): number =>
+  1.25 * workers.report_s * 1000 + ANSWER_MISSED_MS;
+
 /** ms of silence after which a worker that lives would have knocked at another node. */
 export const silenceLimitMs = (workers: Settings['cluster']['workers']): number =>
   1.25 * workers.report_s * 1000 + ROUND_TRIP_MS;
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -54,24 +54,19 @@
 });
 
 describe('a report that crosses a newer answer of a command', () => {
-  it('is no late copy: its worker gets its orders, and counts as reached', async () => {
+  it('is no late copy, and its worker counts as reached', async () => {
     await ready(1, 1);
-    const worker = cluster.workers.get('i-000000')!;
-    const crossing = worker.report();
-    await cluster.submit(service);
-    const { tick } = cluster.node(0).owner.workers.get('i-000000')!;
-    assert.ok(tick > (crossing['Tick'] as number), 'a command has been answered since');
     const known = new Worker('i-000000');
-    const report = decodeReport(crossing)!;
+    const report = decodeReport(cluster.workers.get('i-000000')!.report())!;
     known.take({ ...report, tick: report.tick + 5 }, 100, false);
     assert.equal(known.isLate(report), false);
-    known.noteAnswer(report, 1, undefined, 1, 100);
+    known.noteAnswer(report, 1, undefined, 2250, 100);
     assert.equal(known.isLate(report), true);
     for (let n = 1; n <= 5; n++) {
       // Every report crosses a command's answer; the worker is with this node and in time all the same.
       const next = { ...report, tick: report.tick + n, fence: 1 };
       assert.equal(known.isLate(next), false);
-      known.noteAnswer(next, 1, undefined, 1, 100 + n * 1000);
+      known.noteAnswer(next, 1, undefined, 2250, 100 + n * 1000);
       known.take({ ...next, tick: next.tick + 50 }, 100 + n * 1000, false);
       assert.equal(known.isReached, true);
     }
@@ -181,3 +176,17 @@
     for (const { options } of inZone) assert.ok(isOpen(ownerOf(options.host), options.host));
   });
 });
+
+describe('nodes that do not hear each other', () => {
+  it('place work on the machines of all as long as their owners hold their claims', async () => {
+    await ready(3, 6);
+    for (const from of [0, 1, 2]) for (const to of [0, 1, 2]) cluster.parted.add(`n${from}>n${to}`);
+    await cluster.advance(20_000);
+    for (const node of [0, 1, 2]) {
+      for (const host of cluster.workers.keys()) assert.ok(isOpen(node, host), `${host} at n${node}`);
+    }
+    await cluster.submit({ ...service, Shards: 6, Spread: true });
+    const hosts = new Set([0, 1, 2, 3, 4, 5].map((n) => where(`j-svc/${n}`)));
+    assert.equal(hosts.size, 6);
+  });
+});
