--- a/src/constants.ts
+++ b/src/constants.ts
@@ -309,6 +309,18 @@
 export const RATE_DECREASE = 0.6;
 export const RATE_INCREASE = 0.2;
 
+/** ms of waiting after which batch work leaves nothing any more. */
+export const URGENT_YIELD_MS = 1000;
+
+/**
+ * Share of a second's changes that one transaction of batch work may take: one that needed nearly all that a node may save
+ * up would wait for ever behind smaller ones.
+ */
+export const BATCH_TXN_SHARE = 0.3;
+
+/** Changes in a transaction of batch work at least: two jobs with their teams. */
+export const BATCH_TXN_LEAST = 4;
+
 /** ms between two looks of waiters at their rate. */
 export const BUCKET_LOOK_MS = 25;
 
--- a/src/net/token-bucket.ts
+++ b/src/net/token-bucket.ts
@@ -1,4 +1,4 @@
-import { BUCKET_LOOK_MS, RATE_DECREASE, RATE_INCREASE, URGENT_SHARE } from '../constants.js';
+import { BUCKET_LOOK_MS, RATE_DECREASE, RATE_INCREASE, URGENT_SHARE, URGENT_YIELD_MS } from '../constants.js';
 import type { Clock } from './clock.js';
 
 /**
@@ -11,6 +11,8 @@
 interface Waiter {
   priority: Priority;
   cost: number;
+  /** Steady ms. */
+  since: number;
   go: () => void;
 }
 
@@ -54,14 +56,14 @@
     this.refill();
     // What is urgent does not stand behind batch work that the bucket has too little for.
     const first = this.waiters.length === 0 || this.waiters[0]!.priority > priority;
-    if (first && this.missing(cost, priority) <= 0 && this.clock.now() >= this.blockedUntil) {
+    if (first && this.missing(cost, priority, this.last) <= 0 && this.clock.now() >= this.blockedUntil) {
       this.tokens -= cost;
       return Promise.resolve();
     }
     return new Promise((go) => {
       let at = this.waiters.length;
       while (at > 0 && this.waiters[at - 1]!.priority > priority) at--;
-      this.waiters.splice(at, 0, { priority, cost, go });
+      this.waiters.splice(at, 0, { priority, cost, since: this.last, go });
       void this.pump();
     });
   }
@@ -74,9 +76,13 @@
     this.last = now;
   }
 
-  /** Batch work leaves some tokens, so that what is urgent finds them at once. */
-  private missing(cost: number, priority: Priority): number {
-    const left = priority >= Priority.record ? this.burst * URGENT_SHARE : 0;
+  /**
+   * Batch work leaves some tokens, so that what is urgent finds them at once; less the longer it has waited, since under
+   * steady load the bucket never fills up, and it would wait for ever.
+   */
+  private missing(cost: number, priority: Priority, since: number): number {
+    const patience = Math.max(0, 1 - (this.last - since) / URGENT_YIELD_MS);
+    const left = priority >= Priority.record ? this.burst * URGENT_SHARE * patience : 0;
     return Math.min(cost + left, this.burst) - this.tokens;
   }
 
@@ -86,7 +92,7 @@
     while (this.waiters.length > 0) {
       this.refill();
       const next = this.waiters[0]!;
-      const missing = this.missing(next.cost, next.priority);
+      const missing = this.missing(next.cost, next.priority, next.since);
       const wait = Math.max(this.blockedUntil - this.clock.now(), (missing * 1000) / this.rate);
       if (wait > 0) {
         // Somebody more urgent may come in the meantime, and need less.
--- a/src/state/committer.ts
+++ b/src/state/committer.ts
@@ -1,4 +1,12 @@
-import { FINAL_CACHE, MAX_FLIGHTS, MAX_INTENTS, PACK_MISSES, PACK_TRIES } from '../constants.js';
+import {
+  BATCH_TXN_LEAST,
+  BATCH_TXN_SHARE,
+  FINAL_CACHE,
+  MAX_FLIGHTS,
+  MAX_INTENTS,
+  PACK_MISSES,
+  PACK_TRIES,
+} from '../constants.js';
 import type { Settings } from '../config/settings.js';
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
@@ -9,12 +17,15 @@
 /** Room in one transaction. */
 export interface TxnLimits {
   ops: number;
+  /** Changes beyond which nothing more is added to a transaction of batch work. */
+  batchOps: number;
   conditions: number;
   bytes: number;
 }
 
 export const txnLimits = (state: Settings['cluster']['state']): TxnLimits => ({
   ops: state.txn_ops,
+  batchOps: Math.min(state.txn_ops, Math.max(BATCH_TXN_LEAST, Math.floor(state.write_rps * BATCH_TXN_SHARE))),
   conditions: state.txn_ops * 4,
   // The service takes 64 KiB in total; some is left for the envelope.
   bytes: 60_000,
@@ -72,7 +83,7 @@
   }
 
   /** Would this draft, merged into the one below it, still be one transaction? */
-  fits(limits: TxnLimits): boolean {
+  fits(limits: TxnLimits, ops = limits.ops): boolean {
     const { below } = this;
     let writes = below?.writes.size ?? 0;
     let conditions = below?.conditions.size ?? 0;
@@ -90,7 +101,7 @@
       bytes += key.length + CONDITION_BYTES;
     }
     this.bytes = bytes;
-    return writes <= limits.ops && conditions <= limits.conditions && bytes <= limits.bytes;
+    return writes <= ops && conditions <= limits.conditions && bytes <= limits.bytes;
   }
 
   /** Takes in a draft over this one, whose `fits` has been asked. */
@@ -189,7 +200,7 @@
       // What may wait shares transactions: each costs a change for the team's record, and the rate of changes is small.
       const most = priority <= Priority.accept ? MAX_FLIGHTS : 1;
       while (queue.length > 0 && (this.flights.get(priority) ?? 0) < most) {
-        const packed = this.pack(queue);
+        const packed = this.pack(queue, priority >= Priority.record ? this.limits.batchOps : this.limits.ops);
         if (packed === undefined) break;
         void this.fly(packed.batch, packed.draft);
       }
@@ -197,7 +208,7 @@
   }
 
   /** Takes as many intents of one priority off the queue as one transaction holds. */
-  private pack(queue: Intent[]): { batch: Intent[]; draft: Draft } | undefined {
+  private pack(queue: Intent[], ops: number): { batch: Intent[]; draft: Draft } | undefined {
     const now = this.clock.now();
     const batch: Intent[] = [];
     const draft = new Draft(this.read);
@@ -223,7 +234,7 @@
       }
       // A key being written by another flight, or by an intent that waits for one, keeps this intent waiting.
       const blocked = [...trial.conditions.keys()].some((key) => this.locked.has(key) || touched.has(key));
-      if (!blocked && trial.fits(this.limits)) {
+      if (!blocked && trial.fits(this.limits, batch.length === 0 ? this.limits.ops : ops)) {
         draft.merge(trial);
         batch.push(intent);
       } else if (!blocked && batch.length === 0) {
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -121,6 +121,27 @@
   });
 });
 
+describe('a change of batch work', () => {
+  it('gets its turn under a steady stream of urgent ones that leaves the bucket never full', async () => {
+    const clock = new FakeClock();
+    const bucket = new TokenBucket(clock, 10, 10, 10);
+    let over = false;
+    const stream = async () => {
+      while (!over) {
+        await bucket.take(1, Priority.start);
+        await clock.sleep(200);
+      }
+    };
+    void stream();
+    await clock.advance(2000);
+    let through = false;
+    void bucket.take(8, Priority.background).then(() => (through = true));
+    await clock.advance(3000);
+    over = true;
+    assert.ok(through);
+  });
+});
+
 describe('a long queue', () => {
   it('costs work in proportion to its length', async () => {
     const clock = new FakeClock();
@@ -128,7 +149,7 @@
     const txn = (): Promise<TxnResult> => Promise.resolve({ kind: 'done', epoch: ++epoch });
     const client = { txn } as unknown as StateClient;
     const replica = new Replica(client, 'live/', clock);
-    const limits = { ops: 12, conditions: 48, bytes: 60_000 };
+    const limits = { ops: 12, batchOps: 12, conditions: 48, bytes: 60_000 };
     const committer = new Committer(client, replica, limits, 'live/', clock, new Random(1));
     let decided = 0;
     const intents = 1200;
