--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -129,11 +129,11 @@
     const stream = async () => {
       while (!over) {
         await bucket.take(1, Priority.start);
-        await clock.sleep(200);
+        await clock.sleep(95);
       }
     };
     void stream();
-    await clock.advance(2000);
+    await clock.advance(10);
     let through = false;
     void bucket.take(8, Priority.background).then(() => (through = true));
     await clock.advance(3000);
