--- a/src/controller/placer.ts
+++ b/src/controller/placer.ts
@@ -8,6 +8,7 @@
 import { match, type Host, type Seeker } from '../placement/matching.js';
 import { tasksIn } from '../placement/renting.js';
 import type { Fleet, MachineInfo } from './fleet.js';
+import type { Pool } from './pools.js';
 
 /** A shard that waits for a place. */
 export interface Waiting {
@@ -58,14 +59,17 @@
    */
   find(
     waiting: readonly Waiting[],
-    machines: readonly MachineInfo[],
+    pool: Pool,
     rooms: ReadonlyMap<string, Room>,
     flying: readonly string[],
   ): Map<string, MachineInfo> {
     if (waiting.length === 0) return new Map();
     const { view } = waiting[0]!;
     const { spec } = view.record;
-    const usable = this.withRoom(spec, this.warmOnly(waiting, machines, rooms), rooms, waiting.length);
+    if (pool.isFull(spec)) return new Map();
+    const machines = this.warmOnly(waiting, pool.machines, rooms);
+    const usable = this.withRoom(spec, machines, rooms, waiting.length);
+    if (usable.full && machines === pool.machines) pool.noteFull(spec);
     // A full cluster is the usual case under load: nothing is matched where nothing fits, and no more than fits at all.
     const most = spec.Shape === 'ensemble' && usable.tasks < waiting.length ? 0 : usable.tasks;
     if (most === 0) return new Map();
@@ -107,19 +111,22 @@
     machines: readonly MachineInfo[],
     rooms: ReadonlyMap<string, Room>,
     enough: number,
-  ): { machines: MachineInfo[]; tasks: number } {
+  ): { machines: MachineInfo[]; tasks: number; full: boolean } {
     const open: MachineInfo[] = [];
+    let full = true;
     let tasks = 0;
     for (const machine of machines) {
       const room = rooms.get(machine.host)!;
-      if (!fits(spec, room) || machine.failedJobs.includes(spec.Ref)) continue;
+      if (!fits(spec, room)) continue;
+      full = false;
+      if (machine.failedJobs.includes(spec.Ref)) continue;
       open.push(machine);
       tasks += tasksIn(room, spec);
     }
     // With more to place than one run takes, a sample of many machines will do; what hangs together needs them all.
     const busy = this.matched >= MAX_PLAN_TASKS && !isLarge(spec);
     const usable = busy ? this.random.sample(open, SAMPLE_MACHINES) : open;
-    return { machines: usable, tasks: Math.min(tasks, enough) };
+    return { machines: usable, tasks: Math.min(tasks, enough), full };
   }
 
   private matchInZones(
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -24,7 +24,7 @@
 import type { Fleet, MachineInfo } from './fleet.js';
 import type { Log } from './log.js';
 import { isLarge, Placer, type Waiting } from './placer.js';
-import { Pools } from './pools.js';
+import { Pools, type Pool } from './pools.js';
 
 interface Flight {
   host: string;
@@ -231,7 +231,7 @@
    */
   private place(
     waiting: Waiting[],
-    machines: readonly MachineInfo[],
+    pool: Pool,
     rooms: Map<string, Room>,
     uses: Map<string, TeamRecord>,
     role: string | undefined,
@@ -252,7 +252,7 @@
       allowed++;
     }
     if (gang && allowed < waiting.length) return;
-    const found = this.placer.find(waiting.slice(0, allowed), machines, rooms, this.sitesOf(spec.Ref));
+    const found = this.placer.find(waiting.slice(0, allowed), pool, rooms, this.sitesOf(spec.Ref));
     // A gang starts whole or not at all.
     const best = gang && found.size < waiting.length ? new Map<string, MachineInfo>() : found;
     const choices: Choice[] = [];
--- a/src/controller/pools.ts
+++ b/src/controller/pools.ts
@@ -1,17 +1,32 @@
 import type { JobSpec } from '../ledger/records.js';
-import { allowedOn } from '../ledger/rules.js';
+import { allowedOn, roomOf, type Room } from '../ledger/rules.js';
 import type { MachineInfo } from './fleet.js';
 
-interface Pool {
-  allowed: MachineInfo[];
-  /** By part. */
-  near: Map<number, MachineInfo[]>;
-  far: Map<number, MachineInfo[]>;
+/** Machines that a kind of job may use, and what is known to fit on none of them. */
+export class Pool {
+  private readonly full: Room[] = [];
+
+  constructor(readonly machines: readonly MachineInfo[]) {}
+
+  /** Room only shrinks during a run: where a task has found none, one as large or larger finds none either. */
+  isFull(spec: JobSpec): boolean {
+    return this.full.some(({ cpus, cards, memGb }) => spec.Cpus >= cpus && spec.Cards >= cards && spec.MemGb >= memGb);
+  }
+
+  noteFull(spec: JobSpec): void {
+    this.full.push(roomOf(spec));
+  }
+}
+
+interface Kind {
+  allowed: Pool;
+  /** By part: its machines, and all others. */
+  parts: Map<number, { near: Pool; far: Pool }>;
 }
 
 /** The open machines of one planner run, sorted once for all jobs that ask for the same kind of machine. */
 export class Pools {
-  private readonly pools = new Map<string, Pool>();
+  private readonly kinds = new Map<string, Kind>();
   private readonly parts: Map<string, number>;
 
   constructor(
@@ -21,32 +36,31 @@
     this.parts = new Map(machines.map((machine) => [machine.host, partOf(machine.host)]));
   }
 
-  private pool(spec: JobSpec): Pool {
+  private kind(spec: JobSpec): Kind {
     const key = `${spec.Flavors?.join(',') ?? '*'} ${spec.Site ?? '*'} ${spec.Reclaimable}`;
-    let pool = this.pools.get(key);
-    if (pool === undefined) {
-      const allowed = this.machines.filter((machine) => allowedOn(spec, machine));
-      this.pools.set(key, (pool = { allowed, near: new Map(), far: new Map() }));
+    let kind = this.kinds.get(key);
+    if (kind === undefined) {
+      const allowed = new Pool(this.machines.filter((machine) => allowedOn(spec, machine)));
+      this.kinds.set(key, (kind = { allowed, parts: new Map() }));
     }
-    return pool;
+    return kind;
   }
 
   /** The machines that a task of the job may ever run on. */
-  allowed(spec: JobSpec): readonly MachineInfo[] {
-    return this.pool(spec).allowed;
+  allowed(spec: JobSpec): Pool {
+    return this.kind(spec).allowed;
   }
 
   /** The same, those of a part apart from the others. */
-  split(spec: JobSpec, part: number): { near: readonly MachineInfo[]; far: readonly MachineInfo[] } {
-    const pool = this.pool(spec);
-    let near = pool.near.get(part);
-    let far = pool.far.get(part);
-    if (near === undefined || far === undefined) {
-      near = pool.allowed.filter((machine) => this.parts.get(machine.host) === part);
-      far = pool.allowed.filter((machine) => this.parts.get(machine.host) !== part);
-      pool.near.set(part, near);
-      pool.far.set(part, far);
+  split(spec: JobSpec, part: number): { near: Pool; far: Pool } {
+    const { allowed, parts } = this.kind(spec);
+    let split = parts.get(part);
+    if (split === undefined) {
+      const isNear = (machine: MachineInfo) => this.parts.get(machine.host) === part;
+      const near = new Pool(allowed.machines.filter(isNear));
+      const far = new Pool(allowed.machines.filter((machine) => !isNear(machine)));
+      parts.set(part, (split = { near, far }));
     }
-    return { near, far };
+    return split;
   }
 }
--- a/src/ledger/book.ts
+++ b/src/ledger/book.ts
@@ -34,9 +34,10 @@
     return chunk?.[shard % this.record.chunk] ?? { kind: 'queued', attempt: 0, fails: 0 };
   }
 
-  /** All slots that were ever placed, with their numbers. */
-  *known(): Generator<[number, Slot]> {
+  /** All slots that were ever placed, with their numbers; or those of one chunk. */
+  *known(only?: number): Generator<[number, Slot]> {
     for (const [index, slots] of this.chunks) {
+      if (only !== undefined && only !== index) continue;
       for (const [at, slot] of slots.entries()) yield [index * this.record.chunk + at, slot];
     }
   }
@@ -48,7 +49,7 @@
 
 export interface BookListener {
   /** Something about a job or its ledger has changed. */
-  job?(ref: string): void;
+  job?(ref: string, chunk?: number): void;
   claim?(role: string): void;
   corrupt?(key: string, error: unknown): void;
 }
@@ -167,36 +168,47 @@
     }
     const slots = value === undefined ? undefined : decodeChunk(value, chunkSize(view.record, index));
     this.setChunk(view, index, slots);
-    this.listener.job?.(ref);
+    this.listener.job?.(ref, index);
   }
 
+  /** Takes in a chunk, slot by slot: most of it stays as it was, whatever its size. */
   private setChunk(view: JobView, index: number, slots: Slot[] | undefined): void {
     const first = index * view.record.chunk;
-    for (const [at, slot] of (view.chunks.get(index) ?? []).entries()) {
-      if (slot.kind === 'done') view.done--;
-      if (slot.kind !== 'placed') continue;
-      view.placed--;
-      const places = this.hosts.get(slot.host);
-      places?.delete(`${view.ref}/${first + at}`);
-      this.count(view, slot.host, -1);
-      if (places?.size !== 0) continue;
-      this.hosts.delete(slot.host);
-      this.taken.delete(slot.host);
-    }
-    if (slots === undefined) {
-      view.chunks.delete(index);
-      return;
-    }
-    view.chunks.set(index, slots);
-    for (const [at, slot] of slots.entries()) {
-      if (slot.kind === 'done') view.done++;
-      if (slot.kind !== 'placed') continue;
-      view.placed++;
-      let places = this.hosts.get(slot.host);
-      if (places === undefined) this.hosts.set(slot.host, (places = new Map<string, Place>()));
-      places.set(`${view.ref}/${first + at}`, { ref: view.ref, shard: first + at, slot });
-      this.count(view, slot.host, 1);
+    const before = view.chunks.get(index);
+    for (let at = 0; at < Math.max(before?.length ?? 0, slots?.length ?? 0); at++) {
+      const old = before?.[at];
+      const now = slots?.[at];
+      if (old?.kind === 'done') view.done--;
+      if (now?.kind === 'done') view.done++;
+      if (old?.kind === 'placed') {
+        if (now?.kind === 'placed' && now.host === old.host) {
+          this.hosts.get(old.host)!.set(`${view.ref}/${first + at}`, { ref: view.ref, shard: first + at, slot: now });
+          continue;
+        }
+        this.unplace(view, first + at, old.host);
+      }
+      if (now?.kind === 'placed') this.place(view, first + at, now);
     }
+    if (slots === undefined) view.chunks.delete(index);
+    else view.chunks.set(index, slots);
+  }
+
+  private place(view: JobView, shard: number, slot: Placed): void {
+    view.placed++;
+    let places = this.hosts.get(slot.host);
+    if (places === undefined) this.hosts.set(slot.host, (places = new Map<string, Place>()));
+    places.set(`${view.ref}/${shard}`, { ref: view.ref, shard, slot });
+    this.count(view, slot.host, 1);
+  }
+
+  private unplace(view: JobView, shard: number, host: string): void {
+    view.placed--;
+    const places = this.hosts.get(host)!;
+    places.delete(`${view.ref}/${shard}`);
+    this.count(view, host, -1);
+    if (places.size > 0) return;
+    this.hosts.delete(host);
+    this.taken.delete(host);
   }
 
   private count(view: JobView, host: string, tasks: 1 | -1): void {
