Runs seen from the middle make no machine slow; a zone is spared while its machines come back

Among tasks that differ by 0.4 either way the longest take 1.9 times the mean of the shorter half, so the limit of 1.8 was below chance.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -201,6 +201,9 @@
 /** Share of a zone's machines silent at once above which the zone counts as cut off. */
 export const ZONE_CUT_SHARE = 0.5;
 
+/** ms for which a zone's machines are spared after most have come back: the last ones try other nodes first. */
+export const ZONE_HEAL_MS = 30_000;
+
 /** ms for which the machines of a zone that is cut off are kept: longer than most cuts, and than renting others takes. */
 export const ZONE_PATIENCE_MS = 120_000;
 
@@ -224,14 +227,17 @@
 /** Finished siblings from which their mean run time is trusted. */
 export const SIBLINGS_KNOWN = 3;
 
-/** Times as long as the mean of its siblings, from which a running task shows that its machine is slow. */
-export const STRAGGLER_FACTOR = 2;
+/**
+ * Times as long as the mean of its siblings, from which a running task shows that its machine is slow. The siblings that are
+ * through by then are the shorter half: among runs that differ by 0.4 either way the longest takes 1.9 times their mean.
+ */
+export const STRAGGLER_FACTOR = 2.3;
 
 /** Times the mean after which a task stays on its slow machine: it will end there sooner than anew. */
 export const RELIEVE_FACTOR = 3;
 
-/** Times as long as its siblings from which a machine's tasks make it count as slow: runs of one job vary by less. */
-export const SLOW_FACTOR = 1.8;
+/** Times as long as its siblings from which a machine's tasks make it count as slow, for the same reason. */
+export const SLOW_FACTOR = 2.3;
 
 /** ms after its rental until a machine that never reported is given back: many times its boot time is `BootS` * this. */
 export const BOOT_PATIENCE = 3;
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -5,6 +5,7 @@
   RENT_PERIOD_MS,
   CATALOG_PERIOD_MS,
   STATUS_PERIOD_MS,
+  ZONE_HEAL_MS,
   RENT_ROUNDS,
 } from '../constants.js';
 import type { Settings, Team } from '../config/settings.js';
@@ -14,7 +15,7 @@
 import { flavorKey } from '../ledger/records.js';
 import type { Clock } from '../net/clock.js';
 import { Priority } from '../net/token-bucket.js';
-import { machinesToGiveUp, type Watched } from '../placement/silence.js';
+import { cutZones, machinesToGiveUp, type Watched } from '../placement/silence.js';
 import { belowReserve, bootLimitMs } from '../placement/renting.js';
 import type { Committer } from '../state/committer.js';
 import type { Peers } from '../mesh/peers.js';
@@ -37,6 +38,8 @@
   private readonly preempter: Preempter;
   private readonly renter: Renter;
   private catalogAt = -Infinity;
+  /** When each zone was last seen cut off. */
+  private readonly cutAt = new Map<string, number>();
 
   constructor(
     private readonly settings: Settings,
@@ -197,7 +200,9 @@
       const quiet = silent || age > reportLateMs(this.settings.cluster.workers);
       watched.push({ host: machine.host, part, site: machine.site, silentMs: silent ? Math.max(age, 1) : 0, quiet });
     }
-    return machinesToGiveUp(watched);
+    for (const site of cutZones(watched)) this.cutAt.set(site, now);
+    for (const [site, at] of this.cutAt) if (now - at > ZONE_HEAL_MS) this.cutAt.delete(site);
+    return machinesToGiveUp(watched, new Set(this.cutAt.keys()));
   }
 
   private knocked(machine: MachineInfo): boolean {
--- a/src/placement/silence.ts
+++ b/src/placement/silence.ts
@@ -30,19 +30,25 @@
 
 const few = ({ quiet, total }: Group, share: number): boolean => quiet <= Math.max(2, total * share);
 
+/** Zones that are cut off by all their machines say. */
+export function cutZones(machines: readonly Watched[]): string[] {
+  const zones = grouped(machines, (machine) => machine.site);
+  return [...zones].filter(([, zone]) => !few(zone, ZONE_CUT_SHARE)).map(([site]) => site);
+}
+
 /**
  * Silent machines that are to be given back. Where most of a part are silent, its owner is the one that can't be reached.
  * Where most of a zone are, the zone is cut off: its machines come back with their images when the cut ends, new ones could
  * not be reached either, and what ran there is free when the leases are over. Since reports come at different times, the
- * first machine to count as silent is judged by how many others are late already.
+ * first machine to count as silent is judged by how many others are late already; and since they come back at different
+ * times, a zone is spared for a while after.
  */
-export function machinesToGiveUp(machines: readonly Watched[]): string[] {
+export function machinesToGiveUp(machines: readonly Watched[], spared: ReadonlySet<string>): string[] {
   const parts = grouped(machines, (machine) => machine.part);
-  const zones = grouped(machines, (machine) => machine.site);
   return machines
     .filter(({ part, site, silentMs }) => {
       if (silentMs <= 0 || !few(parts.get(part)!, SELF_SUSPECT_SHARE)) return false;
-      return few(zones.get(site)!, ZONE_CUT_SHARE) || silentMs > ZONE_PATIENCE_MS;
+      return !spared.has(site) || silentMs > ZONE_PATIENCE_MS;
     })
     .map(({ host }) => host);
 }
--- a/src/workers/worker.ts
+++ b/src/workers/worker.ts
@@ -62,6 +62,8 @@
   /** Steady ms when each attempt was first seen at all, and first seen running. */
   readonly firstSeen = new Map<string, number>();
   readonly runningSince = new Map<string, number>();
+  /** Attempts that ran already when this worker was first heard: how long they take can't be told. */
+  private readonly midway = new Set<string>();
   /** Bundles that were fetched here, most recently used last. */
   readonly images = new Map<string, number>();
 
@@ -80,6 +82,7 @@
   /** Takes a report in. False: an older one, which changes nothing. */
   take(report: Report, now: number, isHello: boolean): boolean {
     if (!this.isNewer(report)) return false;
+    const first = this.tick < 0;
     if (report.tenure > this.tenure) {
       this.openCommands.clear();
       this.answeredLaunches.clear();
@@ -93,7 +96,7 @@
     this.fence = Math.max(this.fence, report.fence);
     this.tasks = report.tasks;
     this.heardAt = now;
-    this.noteTimes(now);
+    this.noteTimes(now, first);
     this.warnedUntil = report.warningS === null ? null : now + report.warningS * 1000;
     for (const [key, fence] of this.openCommands) if (fence < this.fence) this.openCommands.delete(key);
     for (const [key, tick] of this.answeredLaunches)
@@ -135,17 +138,20 @@
     return this.missed && now > leaseOverAt(this.confirmedAt, leaseS);
   }
 
-  private noteTimes(now: number): void {
+  private noteTimes(now: number, first: boolean): void {
     const present = new Set<string>();
     for (const [name, task] of this.tasks) {
       const key = `${name}#${task.attempt}`;
       present.add(key);
       if (!this.firstSeen.has(key)) this.firstSeen.set(key, now);
-      if (task.phase === 'running' && !this.runningSince.has(key)) this.runningSince.set(key, now);
+      if (task.phase === 'running' && first) this.midway.add(key);
+      if (task.phase === 'running' && !this.midway.has(key) && !this.runningSince.has(key)) {
+        this.runningSince.set(key, now);
+      }
     }
     for (const key of this.firstSeen.keys()) if (!present.has(key)) this.firstSeen.delete(key);
     for (const key of this.runningSince.keys()) if (!present.has(key)) this.runningSince.delete(key);
-    for (const keys of [this.stragglers, this.relieved])
+    for (const keys of [this.stragglers, this.relieved, this.midway])
       for (const key of keys) if (!present.has(key)) keys.delete(key);
   }
 
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -73,6 +73,19 @@
   });
 });
 
+describe('a new owner', () => {
+  it('judges no run that it has not seen start: the rest of it would make all later ones seem long', async () => {
+    await ready(1, 1);
+    const known = new Worker('i-000000');
+    const report = decodeReport(cluster.workers.get('i-000000')!.report())!;
+    const running = (...names: string[]) =>
+      new Map(names.map((name) => [name, { attempt: 1, phase: 'running' as const, cause: null, saved: false }]));
+    known.take({ ...report, tick: 1, tasks: running('j-1/0') }, 1000, true);
+    known.take({ ...report, tick: 2, tasks: running('j-1/0', 'j-1/1') }, 2000, true);
+    assert.deepEqual([...known.runningSince], [['j-1/1#1', 2000]]);
+  });
+});
+
 describe('a late copy of a report', () => {
   it('is no sign of life: the machine is given back as soon as without it', async () => {
     await ready(3, 4);
