--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -28,6 +28,7 @@
 
 interface Flight {
   host: string;
+  site: string;
   spec: JobSpec;
 }
 
@@ -252,14 +253,18 @@
       allowed++;
     }
     if (gang && allowed < waiting.length) return;
-    const found = this.placer.find(waiting.slice(0, allowed), pool, rooms, this.sitesOf(spec.Ref));
+    const open = waiting.slice(0, allowed);
+    const found = this.placer.find(open, pool, rooms, spec.Spread || spec.OneZone ? this.sitesOf(spec.Ref) : []);
     // A gang starts whole or not at all.
-    const best = gang && found.size < waiting.length ? new Map<string, MachineInfo>() : found;
+    if (found.size === 0 || (gang && found.size < waiting.length)) {
+      left.push(...open);
+      return;
+    }
     const choices: Choice[] = [];
-    for (const [index, each] of waiting.entries()) {
-      const machine = best.get(shardName(view.ref, each.shard));
+    for (const each of open) {
+      const machine = found.get(shardName(view.ref, each.shard));
       if (machine === undefined) {
-        if (index < allowed) left.push(each);
+        left.push(each);
         continue;
       }
       choices.push({ waiting: each, machine, attempt: attempt ?? each.slot.attempt + 1 });
@@ -274,9 +279,7 @@
   private sitesOf(ref: string): string[] {
     const sites: string[] = [];
     for (const flight of this.flights.values()) {
-      if (flight.spec.Ref !== ref) continue;
-      const site = this.fleet.get(flight.host)?.site;
-      if (site !== undefined) sites.push(site);
+      if (flight.spec.Ref === ref) sites.push(flight.site);
     }
     return sites;
   }
@@ -291,7 +294,7 @@
     for (const group of groups.values()) {
       const names = group.map((choice) => shardName(view.ref, choice.waiting.shard));
       for (const [at, choice] of group.entries()) {
-        this.flights.set(names[at]!, { host: choice.machine.host, spec: view.record.spec });
+        this.flights.set(names[at]!, { host: choice.machine.host, site: choice.machine.site, spec: view.record.spec });
       }
       const priority = view.record.spec.Shape === 'array' ? Priority.background : Priority.start;
       void this.committer
