--- a/src/constants.ts
+++ b/src/constants.ts
@@ -159,7 +159,10 @@
 /** Waiting tasks listed in one planner run; beyond, a job is only looked at with `PLAN_GLANCE` tasks. */
 export const MAX_UNPLACED = 1500;
 
-/** Tasks of one job tried where many others wait already. */
+/** ms after which a job should have begun, whatever waits before it: users expect the largest within four minutes. */
+export const BEGIN_WITHIN_MS = 120_000;
+
+/** Tasks of one job tried where many others wait already, or where it must begin at last. */
 export const PLAN_GLANCE = 16;
 
 /** Bytes of one shard's entry in a ledger chunk, a safe upper bound used to size chunks. */
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -1,4 +1,5 @@
 import {
+  BEGIN_WITHIN_MS,
   MAX_PLAN_TASKS,
   MAX_UNPLACED,
   PLAN_GATHER_MS,
@@ -177,6 +178,7 @@
   private candidates(): Candidate[] {
     const uses = this.uses();
     const list: Candidate[] = [];
+    const now = this.clock.wall();
     for (const view of this.book.jobs.values()) {
       const { spec, phase } = view.record;
       if (phase !== 'active' || view.done + view.placed === spec.Shards) continue;
@@ -188,8 +190,9 @@
       list.push({
         record: view.record,
         guaranteed: withinGuarantee(team, use, spec),
-        feasible: isFeasible(view.record, targetsOf(spec, this.settings.cluster.objectives), needS, this.clock.wall()),
+        feasible: isFeasible(view.record, targetsOf(spec, this.settings.cluster.objectives), needS, now),
         work: open * spec.Cpus * needS,
+        overdue: spec.Shape === 'array' && open === spec.Shards && now - view.record.at > BEGIN_WITHIN_MS,
       });
     }
     return list.sort(before);
@@ -205,10 +208,11 @@
     const pools = new Pools(machines, (host) => this.claims.partOf(host));
     const unplaced: Waiting[] = [];
     this.placer.begin();
-    for (const { record } of this.candidates()) {
+    for (const { record, overdue } of this.candidates()) {
       const { spec } = record;
       // Behind so many that wait already, a look at a few tells whether the job's tasks still fit somewhere.
-      const most = unplaced.length < MAX_UNPLACED || isLarge(spec) ? MAX_PLAN_TASKS : PLAN_GLANCE;
+      const full = !overdue && (unplaced.length < MAX_UNPLACED || isLarge(spec));
+      const most = full ? MAX_PLAN_TASKS : PLAN_GLANCE;
       const waiting = this.waiting(this.book.jobs.get(spec.Ref)!, most);
       if (waiting.length === 0) continue;
       // Every node makes the whole plan and commits only what is its own: so it keeps the room that others will take, and
--- a/src/placement/queue.ts
+++ b/src/placement/queue.ts
@@ -10,6 +10,8 @@
   feasible: boolean;
   /** CPU seconds that its waiting tasks will take, by its owner's estimate. */
   work: number;
+  /** None of its tasks has begun, and it has waited for longer than any job should. */
+  overdue: boolean;
 }
 
 /** The resource by which a job counts against its team's guarantee; 0 means that the team has none of that kind. */
@@ -53,16 +55,24 @@
 export const isFeasible = (record: JobRecord, targets: readonly number[], needS: number, wall: number): boolean =>
   targets.length === 0 || targets.some((target) => record.at + target * 1000 >= wall + needS * 1000);
 
+/** An overdue array stands among those of rank normal, if its own is lower. */
+const rankWith = ({ overdue, record }: Candidate): number => {
+  const rank = RANKS.indexOf(record.spec.Rank);
+  return overdue ? Math.min(rank, RANKS.indexOf('normal')) : rank;
+};
+
 /**
  * Who goes first: rank; gangs and services before arrays; guarantees; then jobs that can still be in time before those
  * that can't, and among these the ones with the least work left, since that gets the most jobs done in time when more is
- * asked than can be done; then the older.
+ * asked than can be done; then the older. But arrays that should have begun long ago come before other arrays, up to those
+ * of rank normal, with a few tasks each: by the rest of the order the largest and the lowest might never begin under load.
  */
 export function before(a: Candidate, b: Candidate): number {
-  const rank = RANKS.indexOf(a.record.spec.Rank) - RANKS.indexOf(b.record.spec.Rank);
+  const rank = rankWith(a) - rankWith(b);
   if (rank !== 0) return rank;
   const batch = Number(a.record.spec.Shape === 'array') - Number(b.record.spec.Shape === 'array');
   if (batch !== 0) return batch;
+  if (a.overdue !== b.overdue) return a.overdue ? -1 : 1;
   if (a.guaranteed !== b.guaranteed) return a.guaranteed ? -1 : 1;
   if (a.feasible !== b.feasible) return a.feasible ? -1 : 1;
   if (a.record.spec.Shape === 'array' && a.work !== b.work) return a.work - b.work;
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -64,6 +64,25 @@
   });
 });
 
+describe('under a stream of small jobs that takes all room', () => {
+  it('the largest array, and one of the lowest rank, begin within four minutes', async () => {
+    cluster = new Cluster({ nodes: 1, teams: [{ name: 'red' }] });
+    cluster.addWorker({ host: 'i-000001', runMs: 4000 });
+    cluster.cloud.full.add('a').add('b').add('c');
+    await cluster.advance(4000);
+    const small = (n: number) => cluster!.submit({ Ref: `j-small${n}`, Shards: 6, GuessS: 4 });
+    for (let n = 0; n < 4; n++) await small(n);
+    await cluster.submit({ Ref: 'j-largest', Shards: 300, GuessS: 60 });
+    await cluster.submit({ Ref: 'j-lowest', Shards: 2, Rank: 'low', GuessS: 4 });
+    for (let n = 4; n < 70; n++) await small(n);
+    for (const ref of ['j-largest', 'j-lowest']) {
+      const begun = [0, 1, 2, 3].flatMap((shard) => cluster!.runs(`${ref}/${shard}`));
+      assert.ok(begun.length > 0, `${ref} has not begun`);
+      assert.ok(Math.min(...begun.map((run) => run.from)) > 100_000, 'the small ones go first for a while');
+    }
+  });
+});
+
 describe('a node', () => {
   it('hears of a change from the node that made it, before its own watch tells it', async () => {
     await ready(3, 3);
