--- a/src/constants.ts
+++ b/src/constants.ts
@@ -204,6 +204,9 @@
 /** Share of a zone's machines silent at once above which the zone counts as cut off. */
 export const ZONE_CUT_SHARE = 0.5;
 
+/** Times the limit of silence after which a machine that no owner has heard since a takeover is given back. */
+export const UNHEARD_LIMITS = 2;
+
 /** ms for which a zone's machines are spared after most have come back: the last ones try other nodes first. */
 export const ZONE_HEAL_MS = 30_000;
 
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -5,6 +5,7 @@
   RENT_PERIOD_MS,
   CATALOG_PERIOD_MS,
   STATUS_PERIOD_MS,
+  UNHEARD_LIMITS,
   ZONE_HEAL_MS,
   RENT_ROUNDS,
 } from '../constants.js';
@@ -38,6 +39,8 @@
   private readonly preempter: Preempter;
   private readonly renter: Renter;
   private catalogAt = -Infinity;
+  /** Since when each role is seen in the hands of its present owner. */
+  private readonly ownerSince = new Map<string, { latch: number; at: number }>();
   /** When each zone was last seen cut off. */
   private readonly cutAt = new Map<string, number>();
 
@@ -200,11 +203,37 @@
       const quiet = silent || age > reportLateMs(this.settings.cluster.workers);
       watched.push({ host: machine.host, part, site: machine.site, silentMs: silent ? Math.max(age, 1) : 0, quiet });
     }
+    watched.push(...this.unheard(all, now));
     for (const site of cutZones(watched)) this.cutAt.set(site, now);
     for (const [site, at] of this.cutAt) if (now - at > ZONE_HEAL_MS) this.cutAt.delete(site);
     return machinesToGiveUp(watched, new Set(this.cutAt.keys()));
   }
 
+  /**
+   * Machines with tasks that nobody has heard since the owners of their parts took over: what died while all nodes were down
+   * is told of by no former owner, and would else be waited for until its lease is proved over.
+   */
+  private unheard(all: ReadonlyMap<string, MachineInfo>, now: number): Watched[] {
+    const { workers } = this.settings.cluster;
+    const list: Watched[] = [];
+    for (const [role, { record }] of this.book.claims) {
+      const since = this.ownerSince.get(role);
+      if (since?.latch !== record.latch) this.ownerSince.set(role, { latch: record.latch, at: now });
+    }
+    for (const host of this.book.hostsInUse()) {
+      if (all.has(host) || this.fleet.gone.has(host)) continue;
+      const part = this.claims.partOf(host);
+      const owner = this.claims.ownerOf(partRole(part));
+      const told = owner === this.settings.node || (owner !== undefined && this.peers.heard().includes(owner));
+      const [place] = this.book.placesOn(host);
+      if (!told || place === undefined) continue;
+      const age = now - this.ownerSince.get(partRole(part))!.at;
+      const silent = age > UNHEARD_LIMITS * silenceLimitMs(workers) && !this.peers.knocked(host, -Infinity);
+      list.push({ host, part, site: place.slot.site, silentMs: silent ? age : 0, quiet: age > reportLateMs(workers) });
+    }
+    return list;
+  }
+
   private knocked(machine: MachineInfo): boolean {
     return this.peers.knocked(machine.host, machine.heardAt);
   }
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -363,6 +363,21 @@
     assert.notEqual(cluster.runs('j-svc/0')[0]!.to, undefined, 'orders get there as well');
   });
 
+  it('gives machines back that died while all nodes were down, long before their leases are proved over', async () => {
+    await ready({ nodes: 3 }, 6);
+    for (let n = 0; n < 6; n++) await cluster.submit({ ...service, Ref: `j-svc${n}`, Shards: 1 });
+    const [run] = cluster.runs('j-svc0/0');
+    cluster.remember();
+    for (const node of [0, 1, 2]) cluster.crash(node);
+    cluster.cut.add(run!.host);
+    for (const node of [0, 1, 2]) cluster.start(node);
+    await cluster.advance(20_000);
+    assert.ok(cluster.cloud.returned.includes(run!.host));
+    assert.equal(cluster.cloud.returned.length, 1);
+    assert.equal(cluster.runs('j-svc0/0').length, 2);
+    for (let n = 0; n < 6; n++) assert.equal(cluster.overlaps(`j-svc${n}/0`), 0);
+  });
+
   it('goes on answering through an outage of the store, however long, and nothing dies', async () => {
     await ready({ nodes: 3 }, 3);
     await cluster.submit({ ...service, Shards: 3 });
