Transactions of several decisions stay small, and urgent ones retry soon after a 429

Now all stay small, and batch work stays away from the store for longer after a 429 than what is urgent.

--- a/src/cloud/client.ts
+++ b/src/cloud/client.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
-import { CLOUD_TIMEOUT_MS } from '../constants.js';
+import { CLOUD_BUSY_PAUSE_MS, CLOUD_TIMEOUT_MS } from '../constants.js';
 import type { Flavor } from '../controller/fleet.js';
 import type { Clock } from '../net/clock.js';
 import type { HttpClient, Reply } from '../net/http-client.js';
@@ -88,7 +88,7 @@
         timeoutMs: CLOUD_TIMEOUT_MS,
         connectMs: CLOUD_TIMEOUT_MS,
       });
-      if (reply.status === 429) this.bucket.backOff(700);
+      if (reply.status === 429) this.bucket.backOff(CLOUD_BUSY_PAUSE_MS, priority);
       return reply;
     } catch {
       return undefined;
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -93,6 +93,9 @@
 /** ms for a cloud request: rentals take longer than state requests. */
 export const CLOUD_TIMEOUT_MS = 5000;
 
+/** ms after a 429 of the cloud: its limit is a few calls a second; what is urgent tries again after a fifth of that. */
+export const CLOUD_BUSY_PAUSE_MS = 2000;
+
 /** ms for a command to a worker: workers answer at once; a hanging machine does not. */
 export const COMMAND_TIMEOUT_MS = 1500;
 
@@ -300,7 +303,7 @@
  * Share of the time that a search of the whole cluster (plan, preemption) may take: whoever needs long looks more rarely,
  * so that reports and submissions always find the processor free.
  */
-export const WORK_SHARE = 0.08;
+export const WORK_SHARE = 0.06;
 
 /** ms between two preemption rounds: the exits of the last must have been seen. */
 export const PREEMPT_PERIOD_MS = 200;
@@ -324,13 +327,20 @@
 /** ms of waiting after which batch work leaves nothing any more. */
 export const URGENT_YIELD_MS = 1000;
 
+/** ms that batch work stays away after a 429, and share of it after which what is urgent tries again. */
+export const BUSY_PAUSE_MS = 150;
+export const URGENT_RETRY_SHARE = 0.2;
+
+/** ms between two tries in an outage of the store. */
+export const OUTAGE_PAUSE_MS = 300;
+
 /**
- * Share of a second's changes that one transaction of batch work may take: one that needed nearly all that a node may save
- * up would wait for ever behind smaller ones.
+ * Share of a second's changes that one transaction of several decisions may take. The store refuses a large one as long as
+ * small ones of other nodes use up its rate, and here too it would wait for a bucket that is never full.
  */
 export const BATCH_TXN_SHARE = 0.3;
 
-/** Changes in a transaction of batch work at least: two jobs with their teams. */
+/** Changes in such a transaction at least: two jobs with their teams. */
 export const BATCH_TXN_LEAST = 4;
 
 /** ms between two looks of waiters at their rate. */
--- a/src/net/token-bucket.ts
+++ b/src/net/token-bucket.ts
@@ -1,4 +1,11 @@
-import { BUCKET_LOOK_MS, RATE_DECREASE, RATE_INCREASE, URGENT_SHARE, URGENT_YIELD_MS } from '../constants.js';
+import {
+  BUCKET_LOOK_MS,
+  RATE_DECREASE,
+  RATE_INCREASE,
+  URGENT_RETRY_SHARE,
+  URGENT_SHARE,
+  URGENT_YIELD_MS,
+} from '../constants.js';
 import type { Clock } from './clock.js';
 
 /**
@@ -8,6 +15,9 @@
 export const Priority = { hold: 0, withdraw: 1, accept: 2, start: 3, record: 4, background: 5 } as const;
 export type Priority = (typeof Priority)[keyof typeof Priority];
 
+/** Work that may wait: exits and starts of batch tasks, and reads. */
+export const isBatch = (priority: Priority): boolean => priority >= Priority.record;
+
 interface Waiter {
   priority: Priority;
   cost: number;
@@ -20,7 +30,9 @@
 export class TokenBucket {
   private tokens: number;
   private last: number;
+  /** Steady ms before which nothing, and before which no batch work, is let through. */
   private blockedUntil = 0;
+  private batchBlockedUntil = 0;
   private waiters: Waiter[] = [];
   private pumping = false;
   /** Tokens a second at present, between `least` and `most`. */
@@ -45,10 +57,14 @@
     return this.waiters.length;
   }
 
-  /** Nothing is let through for that long: the service said that the limit, which all nodes share, is reached. */
-  backOff(ms: number): void {
-    this.blockedUntil = Math.max(this.blockedUntil, this.clock.now() + ms);
-    this.tokens = Math.min(this.tokens, 0);
+  /**
+   * The service said that the limit, which all nodes share, is reached. Batch work then stays away for that long, in every
+   * node that hears so; what is urgent tries again much sooner, and so finds what the others leave.
+   */
+  backOff(ms: number, priority: Priority): void {
+    const now = this.clock.now();
+    if (isBatch(priority)) this.batchBlockedUntil = Math.max(this.batchBlockedUntil, now + ms);
+    else this.blockedUntil = Math.max(this.blockedUntil, now + ms * URGENT_RETRY_SHARE);
     this.rate = Math.max(this.least, this.rate * RATE_DECREASE);
   }
 
@@ -56,7 +72,7 @@
     this.refill();
     // What is urgent does not stand behind batch work that the bucket has too little for.
     const first = this.waiters.length === 0 || this.waiters[0]!.priority > priority;
-    if (first && this.missing(cost, priority, this.last) <= 0 && this.clock.now() >= this.blockedUntil) {
+    if (first && this.missing(cost, priority, this.last) <= 0 && this.blockedFor(priority) <= 0) {
       this.tokens -= cost;
       return Promise.resolve();
     }
@@ -82,10 +98,15 @@
    */
   private missing(cost: number, priority: Priority, since: number): number {
     const patience = Math.max(0, 1 - (this.last - since) / URGENT_YIELD_MS);
-    const left = priority >= Priority.record ? this.burst * URGENT_SHARE * patience : 0;
+    const left = isBatch(priority) ? this.burst * URGENT_SHARE * patience : 0;
     return Math.min(cost + left, this.burst) - this.tokens;
   }
 
+  private blockedFor(priority: Priority): number {
+    const until = isBatch(priority) ? Math.max(this.blockedUntil, this.batchBlockedUntil) : this.blockedUntil;
+    return until - this.clock.now();
+  }
+
   private async pump(): Promise<void> {
     if (this.pumping) return;
     this.pumping = true;
@@ -93,7 +114,7 @@
       this.refill();
       const next = this.waiters[0]!;
       const missing = this.missing(next.cost, next.priority, next.since);
-      const wait = Math.max(this.blockedUntil - this.clock.now(), (missing * 1000) / this.rate);
+      const wait = Math.max(this.blockedFor(next.priority), (missing * 1000) / this.rate);
       if (wait > 0) {
         // Somebody more urgent may come in the meantime, and need less.
         await this.clock.sleep(Math.min(BUCKET_LOOK_MS, Math.max(1, Math.ceil(wait))));
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -95,8 +95,8 @@
     else this.lastOk = this.clock.now();
     if (reply.status === 429) {
       const pause = this.random.jitter(120, 0.5);
-      if (cost > 0) this.writes.backOff(pause);
-      this.requests.backOff(pause / 4);
+      if (cost > 0) this.writes.backOff(pause, priority);
+      this.requests.backOff(pause / 4, priority);
     }
     return reply;
   }
--- a/src/state/committer.ts
+++ b/src/state/committer.ts
@@ -1,23 +1,26 @@
 import {
   BATCH_TXN_LEAST,
   BATCH_TXN_SHARE,
+  BUSY_PAUSE_MS,
   FINAL_CACHE,
   MAX_FLIGHTS,
   MAX_INTENTS,
+  OUTAGE_PAUSE_MS,
   PACK_MISSES,
   PACK_TRIES,
+  URGENT_RETRY_SHARE,
 } from '../constants.js';
 import type { Settings } from '../config/settings.js';
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
-import { Priority } from '../net/token-bucket.js';
+import { isBatch, Priority } from '../net/token-bucket.js';
 import type { Change, Condition, StateClient, Write } from './client.js';
 import type { Replica, Stored } from './replica.js';
 
 /** Room in one transaction. */
 export interface TxnLimits {
   ops: number;
-  /** Changes beyond which nothing more is added to a transaction of batch work. */
+  /** Changes beyond which no other intent is added to a transaction. */
   batchOps: number;
   conditions: number;
   bytes: number;
@@ -143,7 +146,8 @@
   private readonly flights = new Map<Priority, number>();
   private readonly locked = new Set<string>();
   private readonly finals = new Map<string, Stored>();
-  private pausedUntil = 0;
+  /** Steady ms before which nothing of a priority is sent. */
+  private readonly pausedUntil = new Map<Priority, number>();
   private waking = false;
   /** Told what this node's transactions have changed. */
   announce: (changes: Change[]) => void = () => undefined;
@@ -194,13 +198,13 @@
   }
 
   private launch(): void {
-    if (this.clock.now() < this.pausedUntil) return;
     // Each priority has flights of its own: batch starts that wait for the write rate must not keep submissions waiting.
     for (const [priority, queue] of this.queues) {
+      if (this.clock.now() < (this.pausedUntil.get(priority) ?? 0)) continue;
       // What may wait shares transactions: each costs a change for the team's record, and the rate of changes is small.
       const most = priority <= Priority.accept ? MAX_FLIGHTS : 1;
       while (queue.length > 0 && (this.flights.get(priority) ?? 0) < most) {
-        const packed = this.pack(queue, priority >= Priority.record ? this.limits.batchOps : this.limits.ops);
+        const packed = this.pack(queue);
         if (packed === undefined) break;
         void this.fly(packed.batch, packed.draft);
       }
@@ -208,7 +212,7 @@
   }
 
   /** Takes as many intents of one priority off the queue as one transaction holds. */
-  private pack(queue: Intent[], ops: number): { batch: Intent[]; draft: Draft } | undefined {
+  private pack(queue: Intent[]): { batch: Intent[]; draft: Draft } | undefined {
     const now = this.clock.now();
     const batch: Intent[] = [];
     const draft = new Draft(this.read);
@@ -234,7 +238,7 @@
       }
       // A key being written by another flight, or by an intent that waits for one, keeps this intent waiting.
       const blocked = [...trial.conditions.keys()].some((key) => this.locked.has(key) || touched.has(key));
-      if (!blocked && trial.fits(this.limits, batch.length === 0 ? this.limits.ops : ops)) {
+      if (!blocked && trial.fits(this.limits, batch.length === 0 ? this.limits.ops : this.limits.batchOps)) {
         draft.merge(trial);
         batch.push(intent);
       } else if (!blocked && batch.length === 0) {
@@ -280,7 +284,7 @@
         this.again(batch);
         break;
       case 'refused':
-        this.pausedUntil = this.clock.now() + this.random.jitter(result.status === 429 ? 60 : 300, 0.5);
+        this.pause(priority, result.status === 429);
         // A user is told at once what the store has refused for good, instead of waiting here for a deadline.
         if (result.status !== 429 && isUsers(priority)) for (const intent of batch) intent.resolve({ kind: 'expired' });
         else this.again(batch);
@@ -290,9 +294,14 @@
     }
     for (const key of keys) this.locked.delete(key);
     this.flights.set(priority, this.flights.get(priority)! - 1);
-    const wait = this.pausedUntil - this.clock.now();
+    const wait = (this.pausedUntil.get(priority) ?? 0) - this.clock.now();
     if (wait > 0) void this.clock.sleep(wait + 1).then(() => this.wake());
-    else this.wake();
+    this.wake();
+  }
+
+  private pause(priority: Priority, busy: boolean): void {
+    const ms = busy ? (isBatch(priority) ? BUSY_PAUSE_MS : BUSY_PAUSE_MS * URGENT_RETRY_SHARE) : OUTAGE_PAUSE_MS;
+    this.pausedUntil.set(priority, this.clock.now() + this.random.jitter(ms, 0.5));
   }
 
   private changed(changes: Change[]): void {
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -121,7 +121,7 @@
       for (;;) {
         await bucket.take(1, Priority.background);
         through++;
-        if (through % 5 === 0) bucket.backOff(10);
+        if (through % 5 === 0) bucket.backOff(10, Priority.background);
       }
     };
     void asking();
@@ -185,3 +185,31 @@
     assert.ok(decided < intents * 1.5, `${decided} decisions for ${intents} intents`);
   });
 });
+
+describe('a transaction of several decisions', () => {
+  it('stays small, since the store refuses large ones while small ones use up its rate; a gang still starts whole', async () => {
+    const clock = new FakeClock();
+    const sizes: number[] = [];
+    const txn = (_: unknown, writes: unknown[]): Promise<TxnResult> => {
+      sizes.push(writes.length);
+      return Promise.resolve({ kind: 'done', epoch: sizes.length });
+    };
+    const client = { txn } as unknown as StateClient;
+    const replica = new Replica(client, 'live/', clock);
+    const limits = { ops: 12, batchOps: 4, conditions: 48, bytes: 60_000 };
+    const committer = new Committer(client, replica, limits, 'live/', clock, new Random(1));
+    const put = (name: string, keys: number) =>
+      committer.commit(name, Priority.start, (draft) => {
+        for (let n = 0; n < keys; n++) draft.set(`live/${name}/${n}`, { n });
+        return true;
+      });
+    const done = [put('a', 1), put('b', 2), put('c', 2), put('gang', 10), put('d', 1)];
+    await clock.advance(100);
+    assert.ok((await Promise.all(done)).every((outcome) => outcome.kind === 'done'));
+    assert.ok(sizes.includes(10));
+    assert.ok(
+      sizes.filter((size) => size !== 10).every((size) => size <= 4),
+      sizes.join(' '),
+    );
+  });
+});
