--- a/src/controller/fleet.ts
+++ b/src/controller/fleet.ts
@@ -4,7 +4,7 @@
 import type { Claims, Held } from './claims.js';
 import { partRole } from './claims.js';
 import type { Owner } from './owner.js';
-import type { Report } from '../workers/report.js';
+import { isNewerThan, type Report } from '../workers/report.js';
 import type { Worker } from '../workers/worker.js';
 
 export interface Flavor {
@@ -146,8 +146,7 @@
   /** Is the report no newer than what this node, or by its word the owner, has heard? Remembers it if it is. */
   isLate(report: Report): boolean {
     const older = (known: { tenure: number; tick: number } | undefined) =>
-      known !== undefined &&
-      (report.tenure < known.tenure || (report.tenure === known.tenure && report.tick <= known.tick));
+      known !== undefined && !isNewerThan(report, known);
     if (older(this.told.get(report.host)) || older(this.seen.get(report.host))) return true;
     this.seen.delete(report.host);
     this.seen.set(report.host, { tenure: report.tenure, tick: report.tick });
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -16,6 +16,7 @@
 import { flavorKey } from '../ledger/records.js';
 import type { Clock } from '../net/clock.js';
 import { Priority } from '../net/token-bucket.js';
+import { exitPriority } from '../placement/queue.js';
 import { cutZones, machinesToGiveUp, type Watched } from '../placement/silence.js';
 import { belowReserve, bootLimitMs } from '../placement/renting.js';
 import type { Committer } from '../state/committer.js';
@@ -179,8 +180,8 @@
   /** The cloud's 200 proves that the machine and everything on it are gone. */
   private freeGone(host: string): void {
     for (const place of [...this.book.placesOn(host)]) {
-      const batch = this.book.jobs.get(place.ref)?.record.spec.Shape === 'array';
-      void this.committer.commit('gone', batch ? Priority.record : Priority.start, (draft) => {
+      const priority = exitPriority(this.book.jobs.get(place.ref)?.record.spec);
+      void this.committer.commit('gone', priority, (draft) => {
         if (!this.claims.require(draft, LEADER)) return false;
         return freeShard(draft, this.teams, place.ref, place.shard, host, { kind: 'gone' }, 'lost');
       });
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -14,7 +14,7 @@
 import { parseShard } from '../ledger/records.js';
 import type { Clock } from '../net/clock.js';
 import type { HttpClient } from '../net/http-client.js';
-import { Priority } from '../net/token-bucket.js';
+import { exitPriority } from '../placement/queue.js';
 import type { Committer } from '../state/committer.js';
 import type { Replica } from '../state/replica.js';
 import { sendCommands } from '../workers/commands.js';
@@ -230,11 +230,10 @@
       this.events.completed(place, (now - began) / 1000);
       this.stragglers.compare(worker, place, now - began);
     }
-    const batch = this.book.jobs.get(place.ref)?.record.spec.Shape === 'array';
     const stopped = place.slot.stop !== null || this.book.jobs.get(place.ref)?.record.phase !== 'active';
     if (ending !== 'done' && !stopped) this.events.died(place);
     void this.committer
-      .commit('free', batch ? Priority.record : Priority.start, (draft) => {
+      .commit('free', exitPriority(this.book.jobs.get(place.ref)?.record.spec), (draft) => {
         if (!this.claims.require(draft, role)) return false;
         return freeShard(draft, this.teams, place.ref, place.shard, worker.host, proof, ending);
       })
--- a/src/net/token-bucket.ts
+++ b/src/net/token-bucket.ts
@@ -53,10 +53,6 @@
     this.last = clock.now();
   }
 
-  get waiting(): number {
-    return this.waiters.length;
-  }
-
   /**
    * The service said that the limit, which all nodes share, is reached. Batch work then stays away for that long, in every
    * node that hears so; what is urgent tries again much sooner, and so finds what the others leave.
--- a/src/placement/queue.ts
+++ b/src/placement/queue.ts
@@ -1,3 +1,4 @@
+import { Priority } from '../net/token-bucket.js';
 import type { Objective, Team } from '../config/settings.js';
 import { RANKS, type JobRecord, type JobSpec, type TeamRecord } from '../ledger/records.js';
 
@@ -14,6 +15,10 @@
   overdue: boolean;
 }
 
+/** Exits of arrays may wait; those of services and gangs are followed by a start that may not. */
+export const exitPriority = (spec: JobSpec | undefined): Priority =>
+  spec?.Shape === 'array' ? Priority.record : Priority.start;
+
 /** The resource by which a job counts against its team's guarantee; 0 means that the team has none of that kind. */
 export function guaranteeOf(team: Team, spec: JobSpec): 'cpus' | 'cards' | undefined {
   if (spec.Cards > 0 && team.gpus > 0) return 'cards';
--- a/src/state/client.ts
+++ b/src/state/client.ts
@@ -76,11 +76,6 @@
     this.writes = new TokenBucket(clock, writes, Math.max(writes, 4), Math.min(writes, write_rps / nodes));
   }
 
-  /** Waiting writers: the planner takes on nothing new while the store is behind. */
-  get backlog(): number {
-    return this.writes.waiting;
-  }
-
   private async call(method: string, path: string, body: unknown, priority: Priority, timeoutMs: number, cost = 0) {
     if (cost > 0) await this.writes.take(cost, priority);
     await this.requests.take(1, priority);
--- a/src/workers/report.ts
+++ b/src/workers/report.ts
@@ -45,6 +45,10 @@
   tasks: Map<string, ReportedTask>;
 }
 
+/** The message with the larger session and Tick is the newer one. */
+export const isNewerThan = (a: Pick<Report, 'tenure' | 'tick'>, b: Pick<Report, 'tenure' | 'tick'>): boolean =>
+  a.tenure > b.tenure || (a.tenure === b.tenure && a.tick > b.tick);
+
 const PHASES = ['fetching', 'waiting', 'running', 'flushing', 'exited'];
 
 /** undefined: not a report. */
--- a/src/workers/worker.ts
+++ b/src/workers/worker.ts
@@ -10,7 +10,7 @@
   SLOW_TASKS,
 } from '../constants.js';
 import type { Settings } from '../config/settings.js';
-import type { Report, ReportedTask } from './report.js';
+import { isNewerThan, type Report, type ReportedTask } from './report.js';
 
 /** What an owner knows of one worker of its part. Lost with the process; reports bring it back. */
 export class Worker {
@@ -71,12 +71,11 @@
 
   /** A copy of a report that was answered before, or one of a session that is over. */
   isLate(report: Report): boolean {
-    const { tenure, tick } = this.hello;
-    return report.tenure < this.tenure || report.tenure < tenure || (report.tenure === tenure && report.tick <= tick);
+    return report.tenure < this.tenure || !isNewerThan(report, this.hello);
   }
 
   private isNewer(report: Report): boolean {
-    return report.tenure > this.tenure || (report.tenure === this.tenure && report.tick > this.tick);
+    return isNewerThan(report, this);
   }
 
   /** Takes a report in. False: an older one, which changes nothing. */
