--- a/src/constants.ts
+++ b/src/constants.ts
@@ -3,6 +3,9 @@
  * sizes) comes from the settings file; what operators may tune has its default in `DEFAULT_TUNING`.
  */
 
+/** ms for which one view of all machines serves everybody who looks at them; less than two plans are apart. */
+export const FLEET_VIEW_MS = 50;
+
 /** Name and version shown by `--version`. */
 export const VERSION = '0.1.0';
 
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -88,7 +88,7 @@
     );
     this.replica = new Replica(this.client, LIVE, clock, () => this.watchPauseMs());
     this.book = new Book(this.replica, {
-      job: (ref, chunk) => this.jobChanged(ref, chunk),
+      job: (ref, shards) => this.jobChanged(ref, shards),
       claim: () => this.claimChanged(),
       corrupt: (key, error) => log.error({ key, error: String(error) }, 'record can not be read'),
     });
@@ -325,12 +325,13 @@
     for (const [sku, flavor] of catalog ?? []) this.fleet.catalog.set(sku, flavor);
   }
 
-  private jobChanged(ref: string, chunk?: number): void {
+  private jobChanged(ref: string, shards?: readonly number[]): void {
     const view = this.book.jobs.get(ref);
     this.planner.poke();
     if (view === undefined) return;
     const withdrawn = view.record.phase === 'withdrawn';
-    for (const [shard, slot] of view.known(chunk)) {
+    for (const shard of shards ?? [...view.known()].map(([each]) => each)) {
+      const slot = view.slot(shard);
       if (slot.kind !== 'placed') continue;
       const worker = this.owner.workers.get(slot.host);
       const task = worker?.tasks.get(shardName(ref, shard));
--- a/src/controller/fleet.ts
+++ b/src/controller/fleet.ts
@@ -1,4 +1,11 @@
-import { FORGET_MACHINE_MS, GONE_KEPT, GOSSIP_STALE_MS, SILENT_REPORTS, STRANGERS_KEPT } from '../constants.js';
+import {
+  FLEET_VIEW_MS,
+  FORGET_MACHINE_MS,
+  GONE_KEPT,
+  GOSSIP_STALE_MS,
+  SILENT_REPORTS,
+  STRANGERS_KEPT,
+} from '../constants.js';
 import type { Settings } from '../config/settings.js';
 import type { Clock } from '../net/clock.js';
 import type { Claims, Held } from './claims.js';
@@ -124,16 +131,47 @@
     };
   }
 
+  tenureOf(host: string): number | undefined {
+    return (this.owner.workers.get(host) ?? this.told.get(host))?.tenure;
+  }
+
   get(host: string): MachineInfo | undefined {
     const worker = this.owner.workers.get(host);
     return worker === undefined ? this.told.get(host) : this.describe(worker);
   }
 
-  /** Every machine, this node's own view first. */
-  all(): Map<string, MachineInfo> {
+  /** Every machine, this node's own view first; the same for all who ask within a moment. */
+  all(): ReadonlyMap<string, MachineInfo> {
+    return this.view().all;
+  }
+
+  /** The machines that new work may go to. */
+  open(): MachineInfo[] {
+    const { open } = this.view();
+    return this.leaving.size === 0 ? [...open] : open.filter(({ host }) => !this.leaving.has(host));
+  }
+
+  private seenView: { at: number; workers: number; told: number; all: Map<string, MachineInfo>; open: MachineInfo[] } =
+    {
+      at: -Infinity,
+      workers: 0,
+      told: 0,
+      all: new Map(),
+      open: [],
+    };
+
+  /** Describing hundreds of machines anew for each duty that looks at them would cost more than what they do with it. */
+  private view() {
+    const now = this.clock.now();
+    const workers = this.owner.workers.size;
+    const told = this.told.size;
+    const last = this.seenView;
+    if (now - last.at < FLEET_VIEW_MS && last.workers === workers && last.told === told) return last;
     const all = new Map(this.told);
     for (const machine of this.own()) all.set(machine.host, machine);
-    return all;
+    const open = [...all.values()].filter((machine) => this.isOpen(machine));
+    this.seenView = { at: now, workers, told, all, open };
+    return this.seenView;
   }
 
   known(host: string): MachineInfo | undefined {
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -91,7 +91,7 @@
   /** A line now and then by which an operator sees how full the cluster is and who waits. */
   private status(): void {
     const machines = [...this.fleet.all().values()];
-    const open = machines.filter((machine) => this.fleet.isOpen(machine));
+    const open = this.fleet.open();
     let total = 0;
     let free = 0;
     for (const [host, room] of this.planner.rooms(open)) {
@@ -153,7 +153,7 @@
     const now = this.clock.now();
     const all = this.fleet.all();
     const back = new Set<string>([...this.silent(all), ...this.useless(all)]);
-    for (const host of this.idle(all)) back.add(host);
+    for (const host of this.idle()) back.add(host);
     this.stopOnWarned(all);
     const hosts = [...back].filter((host) => !this.returning.has(host)).slice(0, 50);
     // Places on machines that the cloud has confirmed gone, also those committed on an old view since.
@@ -256,10 +256,10 @@
     return list;
   }
 
-  private idle(all: ReadonlyMap<string, MachineInfo>): string[] {
+  private idle(): string[] {
     const now = this.clock.now();
     const list: string[] = [];
-    const open = [...all.values()].filter((machine) => this.fleet.isOpen(machine));
+    const open = this.fleet.open();
     let total = 0;
     let free = 0;
     const rooms = this.planner.rooms(open);
--- a/src/controller/placer.ts
+++ b/src/controller/placer.ts
@@ -81,7 +81,8 @@
       peak: roomOf(spec),
     }));
     const byHost = new Map(usable.machines.map((machine) => [machine.host, machine]));
-    const slots = zonesOf([...view.known()].map(([, slot]) => slot));
+    // Only where a rule asks for them are a job's other tasks looked through.
+    const slots = zonesOf(spec.Spread || spec.OneZone ? [...view.known()].map(([, slot]) => slot) : []);
     for (const site of flying) slots.set(site, (slots.get(site) ?? 0) + 1);
     const hosts: Host[] = usable.machines.map((machine) => ({
       id: machine.host,
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -42,6 +42,8 @@
 /** Finds places for waiting tasks: an owner for small jobs of its parts, the leader for the rest. */
 export class Planner {
   private readonly flights = new Map<string, Flight>();
+  /** The flying shards of each job. */
+  private readonly flying = new Map<string, Set<number>>();
   /** Run time over estimate, by class. */
   private readonly ratios = new Map<string, number>();
   private readonly brokenGangs = new Map<string, number>();
@@ -127,7 +129,6 @@
   }
 
   private pausedUntil(name: string, slot: Waiting['slot'], now: number): number {
-    if (slot.fails === 0) return 0;
     const known = this.failures.get(name);
     if (known?.fails === slot.fails) return known.until;
     const until = now + Math.min(RETRY_MAX_MS, RETRY_BASE_MS * 2 ** (slot.fails - 1));
@@ -141,11 +142,12 @@
     if (phase !== 'active' || view.done + view.placed === spec.Shards) return [];
     const now = this.clock.now();
     const list: Waiting[] = [];
-    for (let shard = 0; shard < spec.Shards && list.length < most; shard++) {
+    const flying = this.flying.get(view.ref);
+    for (const shard of view.queued) {
+      if (list.length >= most) break;
       const slot = view.slot(shard);
-      if (slot.kind !== 'queued') continue;
-      const name = shardName(view.ref, shard);
-      if (this.flights.has(name) || this.pausedUntil(name, slot, now) > now) continue;
+      if (slot.kind !== 'queued' || flying?.has(shard) === true) continue;
+      if (slot.fails > 0 && this.pausedUntil(shardName(view.ref, shard), slot, now) > now) continue;
       list.push({ view, shard, slot });
     }
     return list;
@@ -202,7 +204,7 @@
     const leader = this.claims.isLeader;
     const parts = new Set(this.claims.ownedParts());
     if (!this.claims.inTouch || (!leader && parts.size === 0) || this.fleet.catalog.size === 0) return;
-    const machines = [...this.fleet.all().values()].filter((machine) => this.fleet.isOpen(machine));
+    const machines = this.fleet.open();
     const rooms = this.rooms(machines);
     const uses = this.uses();
     const pools = new Pools(machines, (host) => this.claims.partOf(host));
@@ -210,19 +212,25 @@
     this.placer.begin();
     for (const { record, overdue } of this.candidates()) {
       const { spec } = record;
+      const part = this.claims.partOf(spec.Ref);
+      const large = isLarge(spec);
+      const pool = large ? pools.allowed(spec) : undefined;
+      const split = large ? undefined : pools.split(spec, part);
+      // A full cluster is the usual case under load: only the leader needs to know who waits there.
+      const full = pool?.isFull(spec) ?? (split!.near.isFull(spec) && split!.far.isFull(spec));
+      if (full && !leader) continue;
       // Behind so many that wait already, a look at a few tells whether the job's tasks still fit somewhere.
-      const full = !overdue && (unplaced.length < MAX_UNPLACED || isLarge(spec));
-      const most = full ? MAX_PLAN_TASKS : PLAN_GLANCE;
+      const whole = !overdue && (unplaced.length < MAX_UNPLACED || large);
+      const most = whole ? MAX_PLAN_TASKS : PLAN_GLANCE;
       const waiting = this.waiting(this.book.jobs.get(spec.Ref)!, most);
       if (waiting.length === 0) continue;
       // Every node makes the whole plan and commits only what is its own: so it keeps the room that others will take, and
       // what is freed for a service does not go to the next batch task.
-      if (isLarge(spec)) {
-        this.place(waiting, pools.allowed(spec), rooms, uses, leader ? LEADER : undefined, unplaced);
+      if (pool !== undefined) {
+        this.place(waiting, pool, rooms, uses, leader ? LEADER : undefined, unplaced);
         continue;
       }
-      const part = this.claims.partOf(spec.Ref);
-      const { near, far } = pools.split(spec, part);
+      const { near, far } = split!;
       const left: Waiting[] = [];
       this.place(waiting, near, rooms, uses, parts.has(part) ? partRole(part) : undefined, left);
       this.place(left, far, rooms, uses, leader ? LEADER : undefined, unplaced);
@@ -282,6 +290,7 @@
   /** Zones that a job's flying starts will take. */
   private sitesOf(ref: string): string[] {
     const sites: string[] = [];
+    if (!this.flying.has(ref)) return sites;
     for (const flight of this.flights.values()) {
       if (flight.spec.Ref === ref) sites.push(flight.site);
     }
@@ -299,11 +308,16 @@
       const names = group.map((choice) => shardName(view.ref, choice.waiting.shard));
       for (const [at, choice] of group.entries()) {
         this.flights.set(names[at]!, { host: choice.machine.host, site: choice.machine.site, spec: view.record.spec });
+        const flying = this.flying.get(view.ref) ?? new Set();
+        this.flying.set(view.ref, flying.add(choice.waiting.shard));
       }
       const priority = view.record.spec.Shape === 'array' ? Priority.background : Priority.start;
       void this.committer
         .commit('start', priority, (draft) => this.decide(draft, group, role, team, whole), 5000)
         .then((outcome) => {
+          const flying = this.flying.get(view.ref);
+          for (const { waiting } of group) flying?.delete(waiting.shard);
+          if (flying?.size === 0) this.flying.delete(view.ref);
           for (const name of names) {
             this.flights.delete(name);
             if (outcome.kind === 'done') this.placer.placed(name);
@@ -323,8 +337,7 @@
     let started = 0;
     for (const { waiting, machine, attempt } of group) {
       // The machine may have begun a new session, or have gone silent, since the choice was made.
-      const now = this.fleet.get(machine.host);
-      const stale = now === undefined || now.tenure !== machine.tenure;
+      const stale = this.fleet.tenureOf(machine.host) !== machine.tenure;
       const why = stale
         ? 'machine changed'
         : startShard(draft, team, waiting.view.ref, waiting.shard, machine, attempt);
--- a/src/controller/preempter.ts
+++ b/src/controller/preempter.ts
@@ -82,7 +82,7 @@
     const mayStop = (victim: JobSpec) => rankOf(victim) > rankOf(spec) || (owed && this.mayReclaim(spec, victim, uses));
     const signature = `${signatureOf(spec)} ${owed ? spec.Owner : ''}`;
     if (hopeless.has(signature)) return false;
-    const zones = zonesOf([...view.known()].map(([, slot]) => slot));
+    const zones = zonesOf(spec.Spread || spec.OneZone ? [...view.known()].map(([, slot]) => slot) : []);
     const options = new Map<MachineField, Option<MachineField>>();
     const look = (field: MachineField) => {
       const option = optionOn(spec, field, mayStop, COLD_COST);
@@ -121,7 +121,7 @@
 
   /** Every open machine with its free room; room that stopping tasks will leave counts as free, since it is on its way. */
   private fields(): MachineField[] {
-    const machines = [...this.fleet.all().values()].filter((machine) => this.fleet.isOpen(machine));
+    const machines = this.fleet.open();
     const rooms = this.planner.rooms(machines);
     return machines.map((machine) => {
       const room = rooms.get(machine.host)!;
--- a/src/controller/renter.ts
+++ b/src/controller/renter.ts
@@ -158,7 +158,7 @@
 
   /** More machines where free room has become scarce, before tasks have to wait for them. */
   private reserve(coming: readonly Offer[]): Wanted | undefined {
-    const open = [...this.fleet.all().values()].filter((machine) => this.fleet.isOpen(machine));
+    const open = this.fleet.open();
     const rooms = this.planner.rooms(open);
     const offers = this.offers();
     const kinds = new Map<string, { free: number; total: number }>();
--- a/src/ledger/book.ts
+++ b/src/ledger/book.ts
@@ -21,9 +21,10 @@
 
 /** A job and where its shards stand, as far as the replica knows. */
 export class JobView {
-  readonly chunks = new Map<number, Slot[]>();
+  readonly chunks = new Map<number, readonly Slot[]>();
   done = 0;
   placed = 0;
+  private waiting: number[] | undefined;
   constructor(
     readonly ref: string,
     public record: JobRecord,
@@ -34,10 +35,30 @@
     return chunk?.[shard % this.record.chunk] ?? { kind: 'queued', attempt: 0, fails: 0 };
   }
 
-  /** All slots that were ever placed, with their numbers; or those of one chunk. */
-  *known(only?: number): Generator<[number, Slot]> {
+  /** The shards that wait for a place, in order; listed anew only when the ledger has changed. */
+  get queued(): readonly number[] {
+    if (this.waiting === undefined) {
+      this.waiting = [];
+      const { chunk, spec } = this.record;
+      for (let first = 0; first < spec.Shards; first += chunk) {
+        const slots = this.chunks.get(first / chunk);
+        const size = Math.min(chunk, spec.Shards - first);
+        for (let at = 0; at < size; at++) {
+          if (slots === undefined || slots[at]!.kind === 'queued') this.waiting.push(first + at);
+        }
+      }
+    }
+    return this.waiting;
+  }
+
+  /** The ledger has changed. */
+  changed(): void {
+    this.waiting = undefined;
+  }
+
+  /** All slots that were ever placed, with their numbers. */
+  *known(): Generator<[number, Slot]> {
     for (const [index, slots] of this.chunks) {
-      if (only !== undefined && only !== index) continue;
       for (const [at, slot] of slots.entries()) yield [index * this.record.chunk + at, slot];
     }
   }
@@ -48,8 +69,8 @@
 }
 
 export interface BookListener {
-  /** Something about a job or its ledger has changed. */
-  job?(ref: string, chunk?: number): void;
+  /** Something about a job has changed, or of its ledger these shards. */
+  job?(ref: string, shards?: readonly number[]): void;
   claim?(role: string): void;
   corrupt?(key: string, error: unknown): void;
 }
@@ -166,18 +187,22 @@
       else this.orphans.delete(ref);
       return;
     }
-    const slots = value === undefined ? undefined : decodeChunk(value, chunkSize(view.record, index));
-    this.setChunk(view, index, slots);
-    this.listener.job?.(ref, index);
+    const before = view.chunks.get(index);
+    const slots = value === undefined ? undefined : decodeChunk(value, chunkSize(view.record, index), before);
+    this.listener.job?.(ref, this.setChunk(view, index, slots));
   }
 
-  /** Takes in a chunk, slot by slot: most of it stays as it was, whatever its size. */
-  private setChunk(view: JobView, index: number, slots: Slot[] | undefined): void {
+  /** Takes in a chunk, slot by slot: most of it stays as it was, whatever its size. Returns the shards that did not. */
+  private setChunk(view: JobView, index: number, slots: readonly Slot[] | undefined): number[] {
+    const changed: number[] = [];
+    view.changed();
     const first = index * view.record.chunk;
     const before = view.chunks.get(index);
     for (let at = 0; at < Math.max(before?.length ?? 0, slots?.length ?? 0); at++) {
       const old = before?.[at];
       const now = slots?.[at];
+      if (old === now) continue;
+      changed.push(first + at);
       if (old?.kind === 'done') view.done--;
       if (now?.kind === 'done') view.done++;
       if (old?.kind === 'placed') {
@@ -191,6 +216,7 @@
     }
     if (slots === undefined) view.chunks.delete(index);
     else view.chunks.set(index, slots);
+    return changed;
   }
 
   private place(view: JobView, shard: number, slot: Placed): void {
--- a/src/ledger/edits.ts
+++ b/src/ledger/edits.ts
@@ -7,10 +7,10 @@
   decodeChunk,
   decodeJob,
   decodeTeam,
-  encodeChunk,
   endedKey,
   jobKey,
   teamKey,
+  withSlot,
   type EndedRecord,
   type JobRecord,
   type Slot,
@@ -23,7 +23,7 @@
   return value === undefined ? undefined : decodeJob(value);
 }
 
-function readChunk(draft: Draft, job: JobRecord, index: number): Slot[] {
+function readChunk(draft: Draft, job: JobRecord, index: number): readonly Slot[] {
   return decodeChunk(draft.get(chunkKey(job.spec.Ref, index)), chunkSize(job, index));
 }
 
@@ -33,12 +33,11 @@
 
 function editSlot(draft: Draft, job: JobRecord, shard: number, change: (slot: Slot) => Slot | undefined): boolean {
   const index = Math.floor(shard / job.chunk);
-  const slots = readChunk(draft, job, index);
   const at = shard % job.chunk;
-  const next = change(slots[at]!);
+  const next = change(readChunk(draft, job, index)[at]!);
   if (next === undefined) return false;
-  slots[at] = next;
-  draft.set(chunkKey(job.spec.Ref, index), encodeChunk(slots));
+  const key = chunkKey(job.spec.Ref, index);
+  draft.set(key, withSlot(draft.get(key), chunkSize(job, index), at, next));
   return true;
 }
 
--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -1,3 +1,5 @@
+import { jsonLength, noteLength } from '../state/sizes.js';
+
 /**
  * The records that dewlatch keeps in the state service, and their codec. Everything that can still change lives under
  * `live/`, so that one ordered watch keeps a whole copy; final states move to `ended/`, where they never change.
@@ -80,11 +82,15 @@
 
 const isCount = (value: unknown): value is number => Number.isSafeInteger(value) && (value as number) >= 0;
 
-function decodeSlot(raw: unknown): Slot {
+/** `like` is what stood there before: mostly nothing has changed, and then the very same object is kept. */
+function decodeSlot(raw: unknown, like?: Slot): Slot {
   if (raw === 0) return FRESH;
   if (raw === 1) return DONE;
   if (Array.isArray(raw) && isCount(raw[0]) && isCount(raw[1])) {
     const [attempt, fails, host, tenure, stop, site] = raw as [number, number, unknown, unknown, unknown, unknown];
+    if (like?.kind === 'placed' && like.attempt === attempt && like.host === host && like.tenure === tenure) {
+      if (like.stop === (stop === -1 ? null : stop) && like.site === site && like.fails === fails) return like;
+    }
     if (raw.length === 2) return { kind: 'queued', attempt, fails };
     if (typeof host === 'string' && isCount(tenure) && typeof stop === 'number' && typeof site === 'string') {
       return { kind: 'placed', attempt, fails, host, tenure, stop: stop < 0 ? null : stop, site };
@@ -104,15 +110,34 @@
   }
 }
 
-/** A missing chunk stands for shards that were never placed. */
-export function decodeChunk(value: unknown, size: number): Slot[] {
+/** Records are never changed in place, so a chunk is decoded once, however many decisions look at it. */
+const decoded = new WeakMap<object, readonly Slot[]>();
+
+/** A missing chunk stands for shards that were never placed. `like` are the chunk's slots before, as far as known. */
+export function decodeChunk(value: unknown, size: number, like?: readonly Slot[]): readonly Slot[] {
   if (value === undefined) return Array.from({ length: size }, () => FRESH);
-  const { s: slots } = (value ?? {}) as { s?: unknown };
-  if (!Array.isArray(slots) || slots.length !== size) throw new CorruptRecord('ledger chunk');
-  return slots.map(decodeSlot);
+  const { s: raw } = (value ?? {}) as { s?: unknown };
+  if (!Array.isArray(raw) || raw.length !== size) throw new CorruptRecord('ledger chunk');
+  const known = decoded.get(value as object);
+  if (known !== undefined) return known;
+  const slots = raw.map((each, at) => decodeSlot(each, like?.[at]));
+  decoded.set(value as object, slots);
+  return slots;
 }
 
-export const encodeChunk = (slots: readonly Slot[]): unknown => ({ s: slots.map(encodeSlot) });
+/** The record of a chunk with one slot changed: the others are neither decoded nor encoded nor measured again. */
+export function withSlot(value: unknown, size: number, at: number, slot: Slot): unknown {
+  const slots = [...decodeChunk(value, size)];
+  const raw: unknown[] = value === undefined ? Array<unknown>(size).fill(0) : [...(value as { s: unknown[] }).s];
+  const old = raw[at];
+  raw[at] = encodeSlot(slot);
+  slots[at] = slot;
+  const next = { s: raw };
+  decoded.set(next, slots);
+  const before = value === undefined ? jsonLength({ s: Array<unknown>(size).fill(0) }) : jsonLength(value);
+  noteLength(next, before + jsonLength(raw[at]) - jsonLength(old));
+  return next;
+}
 
 export function decodeJob(value: unknown): JobRecord {
   const job = value as JobRecord | null;
--- a/src/state/committer.ts
+++ b/src/state/committer.ts
@@ -16,6 +16,7 @@
 import { isBatch, Priority } from '../net/token-bucket.js';
 import type { Change, Condition, StateClient, Write } from './client.js';
 import type { Replica, Stored } from './replica.js';
+import { jsonLength } from './sizes.js';
 
 /** Room in one transaction. */
 export interface TxnLimits {
@@ -34,7 +35,7 @@
   bytes: 60_000,
 });
 
-const bytesOf = (key: string, value: unknown): number => key.length + 40 + (JSON.stringify(value)?.length ?? 0);
+const bytesOf = (key: string, value: unknown): number => key.length + 40 + jsonLength(value);
 const CONDITION_BYTES = 30;
 
 /**
--- /dev/null
+++ b/src/state/sizes.ts
@@ -0,0 +1,14 @@
+/** JSON lengths of values that are never changed after they were made: a record is measured once, not at every try. */
+const known = new WeakMap<object, number>();
+
+export function jsonLength(value: unknown): number {
+  if (typeof value !== 'object' || value === null) return JSON.stringify(value)?.length ?? 0;
+  let length = known.get(value);
+  if (length === undefined) known.set(value, (length = JSON.stringify(value).length));
+  return length;
+}
+
+/** For who makes a value from one that is measured, and knows what has changed. */
+export function noteLength(value: object, length: number): void {
+  known.set(value, length);
+}
