--- a/src/api/server.ts
+++ b/src/api/server.ts
@@ -21,20 +21,27 @@
 class BadBody extends Error {}
 class TooLarge extends Error {}
 
-async function readBody(request: IncomingMessage): Promise<unknown> {
+/** With plain events: an iterator over the request costs more than what a report needs besides. */
+function readBody(request: IncomingMessage): Promise<unknown> {
   if (Number(request.headers['content-length'] ?? 0) > MAX_BODY_BYTES) throw new TooLarge();
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of request) {
-    size += (part as Buffer).length;
-    if (size > MAX_BODY_BYTES) throw new TooLarge();
-    parts.push(part as Buffer);
-  }
-  try {
-    return JSON.parse(Buffer.concat(parts).toString('utf8'));
-  } catch {
-    throw new BadBody();
-  }
+  return new Promise((resolve, reject) => {
+    const parts: Buffer[] = [];
+    let size = 0;
+    request.on('data', (part: Buffer) => {
+      size += part.length;
+      if (size > MAX_BODY_BYTES) reject(new TooLarge());
+      else parts.push(part);
+    });
+    request.on('end', () => {
+      try {
+        resolve(JSON.parse(Buffer.concat(parts).toString('utf8')));
+      } catch {
+        reject(new BadBody());
+      }
+    });
+    request.on('error', reject);
+    request.on('close', () => reject(new Error('the sender has gone')));
+  });
 }
 
 function route(path: string, handlers: Handlers): Route[] {
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -82,10 +82,11 @@
 export const WATCH_PAUSE_MS = 40;
 
 /**
- * Share of the store's requests that the watches of all nodes may use together while the nodes hear each other, and so
- * learn of changes from whoever made them.
+ * ms between two watches while the nodes hear each other, and so learn of changes from whoever made them: what is left to
+ * the watch is the end of a hold, which comes after seconds anyway. Below half a heartbeat, so that it needs no look of its
+ * own.
  */
-export const WATCH_SHARE = 0.1;
+export const WATCH_HEARD_PAUSE_MS = 250;
 
 /** ms that changes are collected before peers are told. */
 export const NEWS_GATHER_MS = 10;
@@ -115,7 +116,7 @@
  * ms that polls are collected before one comparing transaction answers them all: users wait 2 s, and some hundred of them
  * who poll every 5 s would otherwise take a request of the store's each.
  */
-export const POLL_GATHER_MS = 150;
+export const POLL_GATHER_MS = 250;
 
 /** Users' requests in work at once; above it a node answers 429 at once, so that memory stays bounded. */
 export const MAX_OPEN_REQUESTS = 200;
@@ -144,6 +145,12 @@
 /** Urgent transactions of one priority on their way at once: one may hang without keeping the next waiting. */
 export const MAX_FLIGHTS = 2;
 
+/**
+ * ms that exits and starts of batch work are collected before they are packed: tasks run for tens of seconds, and each
+ * transaction costs requests, changes of shared records, and news to every node.
+ */
+export const BATCH_GATHER_MS = 100;
+
 /** Intents that no longer fit, after which a transaction counts as full. */
 export const PACK_MISSES = 4;
 
@@ -304,9 +311,11 @@
 
 /**
  * Share of the time that a search of the whole cluster (plan, preemption) may take: whoever needs long looks more rarely,
- * so that reports and submissions always find the processor free.
+ * so that reports and submissions always find the processor free. Work that is waited for within seconds, services and
+ * gangs, may take more.
  */
-export const WORK_SHARE = 0.06;
+export const WORK_SHARE = 0.015;
+export const URGENT_WORK_SHARE = 0.06;
 
 /** ms between two preemption rounds: the exits of the last must have been seen. */
 export const PREEMPT_PERIOD_MS = 200;
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -9,8 +9,8 @@
   SWEEP_MS,
   FINISH_PERIOD_MS,
   NEWS_GATHER_MS,
+  WATCH_HEARD_PAUSE_MS,
   WATCH_PAUSE_MS,
-  WATCH_SHARE,
 } from '../constants.js';
 import { Jobs, type Answer } from '../api/jobs.js';
 import { ApiServer } from '../api/server.js';
@@ -269,9 +269,8 @@
   }
 
   private watchPauseMs(): number {
-    const { cluster, peers } = this.settings;
-    if (this.peers.heard().length < peers.length) return WATCH_PAUSE_MS;
-    return Math.max(WATCH_PAUSE_MS, (1000 * cluster.size) / (cluster.state.rps * WATCH_SHARE));
+    const { peers } = this.settings;
+    return this.peers.heard().length < peers.length ? WATCH_PAUSE_MS : WATCH_HEARD_PAUSE_MS;
   }
 
   /** Collects what this node's transactions have changed, and tells the peers. */
@@ -327,7 +326,7 @@
 
   private jobChanged(ref: string, shards?: readonly number[]): void {
     const view = this.book.jobs.get(ref);
-    this.planner.poke();
+    this.planner.poke(view !== undefined && view.record.spec.Shape !== 'array' && view.queued.length > 0);
     if (view === undefined) return;
     const withdrawn = view.record.phase === 'withdrawn';
     for (const shard of shards ?? [...view.known()].map(([each]) => each)) {
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -8,6 +8,7 @@
   RATIO_WEIGHT,
   RETRY_BASE_MS,
   RETRY_MAX_MS,
+  URGENT_WORK_SHARE,
   WORK_SHARE,
 } from '../constants.js';
 import type { Settings, Team, Tuning } from '../config/settings.js';
@@ -51,8 +52,10 @@
   private readonly teams: Map<string, Team>;
   private readonly placer: Placer;
   private signal: AbortSignal | undefined;
-  private poked = false;
-  /** Steady ms before which no other plan is made. */
+  /** Steady ms of the next plan. */
+  private nextAt = Infinity;
+  /** Steady ms before which no other plan is made, or none for work that may wait. */
+  private urgentRestUntil = -Infinity;
   private restUntil = -Infinity;
   /** What found no place in the leader's last round: what machines are rented and tasks preempted for. */
   unplaced: Waiting[] = [];
@@ -85,13 +88,17 @@
   }
 
   /** Something has changed: plan soon. */
-  poke(): void {
-    if (this.poked || this.signal === undefined || this.signal.aborted) return;
-    this.poked = true;
-    const rest = Math.max(PLAN_GATHER_MS, this.restUntil - this.clock.now());
-    void this.clock.sleep(rest, this.signal).then(() => {
-      this.poked = false;
-      if (this.signal?.aborted === false) this.round();
+  poke(urgent = false): void {
+    if (this.signal === undefined || this.signal.aborted) return;
+    const now = this.clock.now();
+    const at = Math.max(now + PLAN_GATHER_MS, urgent ? this.urgentRestUntil : this.restUntil);
+    if (at >= this.nextAt) return;
+    this.nextAt = at;
+    void this.clock.sleep(at - now, this.signal).then(() => {
+      // An earlier plan has taken this one's place.
+      if (this.nextAt !== at || this.signal?.aborted !== false) return;
+      this.nextAt = Infinity;
+      this.round();
     });
   }
 
@@ -362,5 +369,6 @@
     const now = this.clock.now();
     // Changes come by the dozen a second: a plan that takes long is made more rarely, and takes them together.
     this.restUntil = now + (now - began) * (1 / WORK_SHARE - 1);
+    this.urgentRestUntil = now + (now - began) * (1 / URGENT_WORK_SHARE - 1);
   }
 }
--- a/src/state/committer.ts
+++ b/src/state/committer.ts
@@ -1,4 +1,5 @@
 import {
+  BATCH_GATHER_MS,
   BATCH_TXN_LEAST,
   BATCH_TXN_SHARE,
   BUSY_PAUSE_MS,
@@ -185,10 +186,19 @@
     if (queue.length >= MAX_INTENTS) return Promise.resolve({ kind: 'expired' });
     return new Promise((resolve) => {
       queue.push({ name, priority, decide, deadline: this.clock.now() + timeoutMs, resolve });
-      this.wake();
+      if (!isBatch(priority)) this.wake();
+      else if (queue.length === 1) this.gather(priority);
     });
   }
 
+  /** Batch work waits for more of its kind. */
+  private gather(priority: Priority): void {
+    const now = this.clock.now();
+    if (now < (this.pausedUntil.get(priority) ?? 0)) return;
+    this.pausedUntil.set(priority, now + BATCH_GATHER_MS);
+    void this.clock.sleep(BATCH_GATHER_MS + 1).then(() => this.wake());
+  }
+
   private wake(): void {
     if (this.waking) return;
     this.waking = true;
