--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -23,6 +23,7 @@
 import type { Gossip, MachineNews, Message, News } from '../mesh/messages.js';
 import { Relays } from '../mesh/relays.js';
 import { Peers } from '../mesh/peers.js';
+import { Heard, Tellings } from '../mesh/tellings.js';
 import type { Clock } from '../net/clock.js';
 import type { HttpClient } from '../net/http-client.js';
 import { Random } from '../net/random.js';
@@ -66,6 +67,10 @@
   /** Set by whoever links the controllers: the mesh, or a test. */
   send: (node: string, message: Message) => boolean = () => false;
   private loadedAt: number | undefined;
+  private readonly tellings: Tellings;
+  private readonly heard = new Heard();
+  /** Peers that must tell all once more. */
+  private readonly missed = new Set<string>();
 
   constructor(
     private readonly settings: Settings,
@@ -76,6 +81,7 @@
     seed: number = randomInt(2 ** 31 - 1),
   ) {
     this.random = new Random(seed);
+    this.tellings = new Tellings(settings.node, randomInt(2 ** 47));
     const limits = txnLimits(settings.cluster.state);
     const peerNodes = settings.peers.map((peer) => peer.node);
     this.client = new StateClient(
@@ -203,6 +209,7 @@
       this.log,
       (node) => this.gossip(node),
       (message) => this.receive(message),
+      (node) => this.tellings.renew(node),
     );
     this.send = (node, message) => mesh.send(node, message);
     await Promise.all([mesh.run(signal), this.duties(signal)]);
@@ -452,7 +459,8 @@
       freshAgeMs: Math.min(now - this.replica.freshAt, 1e12),
       withoutStore: this.withoutStore,
       hears: this.peers.heard(),
-      machines: this.machineNews(now, to),
+      ...this.tellings.compose(to, this.machineNews(now, to)),
+      wants: this.missed.has(to),
       knocks: [...[...this.owner.knocks].map(([host, at]) => ({ host, ageMs: now - at })), ...this.peers.knocksHeard()],
       avoids: this.claims.avoided(),
       gone: this.fleet.lately(),
@@ -462,6 +470,7 @@
   private machineNews(now: number, to: string): MachineNews[] {
     const tell = ({ heardAt, warnedUntil, ...rest }: MachineInfo, knownAt: number): MachineNews => ({
       ...rest,
+      number: -1,
       heardAgeMs: now - heardAt,
       knownAgeMs: now - knownAt,
       warnedMs: warnedUntil === null ? null : warnedUntil - now,
@@ -478,7 +487,15 @@
     this.peers.hear(gossip);
     for (const host of gossip.gone) this.fleet.remove(host);
     const now = this.clock.now();
-    for (const { heardAgeMs, knownAgeMs, warnedMs, ...rest } of gossip.machines) {
+    if (gossip.wants) this.tellings.renew(gossip.node);
+    const { machines, gap } = this.heard.take(gossip);
+    if (gap && !this.missed.has(gossip.node)) {
+      this.missed.add(gossip.node);
+      this.log.info({ from: gossip.node }, 'a message of the peer is missing');
+      this.gossipSoon();
+    }
+    if (gossip.whole) this.missed.delete(gossip.node);
+    for (const { heardAgeMs, knownAgeMs, warnedMs, ...rest } of machines) {
       const warnedUntil = warnedMs === null ? null : now + warnedMs;
       this.fleet.hear({ ...rest, heardAt: now - heardAgeMs, warnedUntil }, now - knownAgeMs);
     }
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -16,6 +16,8 @@
     private readonly log: Log,
     private readonly compose: (node: string) => Gossip,
     private readonly receive: (message: Message) => void,
+    /** A new link to the node: what went by the old one may not have come. */
+    private readonly renewed: (node: string) => void,
   ) {}
 
   async run(signal: AbortSignal): Promise<void> {
@@ -66,6 +68,7 @@
       const connecting = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
       socket.on('connect', () => {
         clearTimeout(connecting);
+        this.renewed(node);
         this.links.set(node, socket);
       });
       socket.on('error', () => socket.destroy());
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -11,7 +11,17 @@
   withoutStore: boolean;
   /** Nodes that the sender hears just now: what they own need not be passed on to it. */
   hears: string[];
+  /** Tells the sender's process from its former lives; messages to one peer are counted. */
+  life: number;
+  seq: number;
+  /** Nothing that was told before is needed to understand this. */
+  whole: boolean;
+  /** The sender has missed something that the receiver told it, and wants to be told all. */
+  wants: boolean;
+  /** What has changed. */
   machines: MachineNews[];
+  /** Machines of the sender's of which nothing has changed since it was told, but that they were heard. */
+  same: { numbers: number[]; heardAgesMs: number[]; ticks: number[] };
   /** Workers that asked, here or at a node heard of, though another node owns them. */
   knocks: { host: string; ageMs: number }[];
   /** Roles that the node does not want for now, since the workers can't reach it. */
@@ -22,6 +32,8 @@
 
 export interface MachineNews {
   host: string;
+  /** By which the sender speaks of it from now on; -1: not at all. */
+  number: number;
   endpoint: string;
   flavor: string;
   site: string;
@@ -55,6 +67,10 @@
     { name: 'freshAgeMs', type: 'double' },
     { name: 'withoutStore', type: 'boolean' },
     { name: 'hears', type: { type: 'array', items: 'string' } },
+    { name: 'life', type: 'long' },
+    { name: 'seq', type: 'long' },
+    { name: 'whole', type: 'boolean' },
+    { name: 'wants', type: 'boolean' },
     {
       name: 'machines',
       type: {
@@ -64,6 +80,7 @@
           name: 'MachineNews',
           fields: [
             { name: 'host', type: 'string' },
+            { name: 'number', type: 'long' },
             { name: 'endpoint', type: 'string' },
             { name: 'flavor', type: 'string' },
             { name: 'site', type: 'string' },
@@ -85,6 +102,18 @@
         },
       },
     },
+    {
+      name: 'same',
+      type: {
+        type: 'record',
+        name: 'Same',
+        fields: [
+          { name: 'numbers', type: { type: 'array', items: 'long' } },
+          { name: 'heardAgesMs', type: { type: 'array', items: 'long' } },
+          { name: 'ticks', type: { type: 'array', items: 'long' } },
+        ],
+      },
+    },
     {
       name: 'knocks',
       type: {
@@ -136,7 +165,7 @@
 const envelope = avro.Type.forSchema({
   type: 'record',
   name: 'Envelope',
-  namespace: 'dewlatch.mesh.v1',
+  namespace: 'dewlatch.mesh.v2',
   fields: [
     { name: 'gossip', type: ['null', gossipSchema], default: null },
     {
