--- a/src/constants.ts
+++ b/src/constants.ts
@@ -57,6 +57,12 @@
 /** ms between two gossip messages to each peer. */
 export const GOSSIP_MS = 1000;
 
+/** ms for which one description of a node's own machines serves all peers: links tick at different moments. */
+export const GOSSIP_VIEW_MS = 450;
+
+/** Workers greeted at once after a takeover: hundreds of connections in one tick would keep reports waiting. */
+export const MAX_GREETINGS = 24;
+
 /** ms by which a peer's copy must be newer than ours to show that only we are cut off: more than two heartbeats. */
 export const PEER_LAG_MS = 2200;
 
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -2,6 +2,7 @@
 import {
   AVOID_MS,
   GOSSIP_SOON_MS,
+  GOSSIP_VIEW_MS,
   GREET_PERIOD_MS,
   HOLD_TTL_MS,
   SELF_SUSPECT_SHARE,
@@ -23,7 +24,7 @@
 import type { Gossip, MachineNews, Message, News } from '../mesh/messages.js';
 import { Relays } from '../mesh/relays.js';
 import { Peers } from '../mesh/peers.js';
-import { Heard, Tellings } from '../mesh/tellings.js';
+import { Heard, ownAt, Tellings, type Own } from '../mesh/tellings.js';
 import type { Clock } from '../net/clock.js';
 import type { HttpClient } from '../net/http-client.js';
 import { Random } from '../net/random.js';
@@ -81,7 +82,7 @@
     seed: number = randomInt(2 ** 31 - 1),
   ) {
     this.random = new Random(seed);
-    this.tellings = new Tellings(settings.node, randomInt(2 ** 47));
+    this.tellings = new Tellings(randomInt(2 ** 47));
     const limits = txnLimits(settings.cluster.state);
     const peerNodes = settings.peers.map((peer) => peer.node);
     this.client = new StateClient(
@@ -436,16 +437,13 @@
   /** Tells this node's fence to workers that have not been heard since a takeover. */
   private greet(): void {
     if (!this.claims.inTouch) return;
-    const tenures = new Map<string, number>();
     for (const host of this.book.hostsInUse()) {
-      for (const place of this.book.placesOn(host)) {
-        tenures.set(host, Math.max(tenures.get(host) ?? 0, place.slot.tenure));
-      }
-    }
-    for (const [host, tenure] of tenures) {
       if (this.owner.workers.has(host) || this.claims.holding(this.owner.roleOf(host)) === undefined) continue;
       const endpoint = this.fleet.known(host)?.endpoint ?? this.leader.listing.get(host)?.endpoint;
-      if (endpoint !== undefined) void this.owner.greet(host, endpoint, tenure);
+      if (endpoint === undefined) continue;
+      let tenure = 0;
+      for (const place of this.book.placesOn(host)) tenure = Math.max(tenure, place.slot.tenure);
+      void this.owner.greet(host, endpoint, tenure);
     }
   }
 
@@ -459,7 +457,7 @@
       freshAgeMs: Math.min(now - this.replica.freshAt, 1e12),
       withoutStore: this.withoutStore,
       hears: this.peers.heard(),
-      ...this.tellings.compose(to, this.machineNews(now, to)),
+      ...this.tellings.compose(to, this.ownNews(now), this.passedNews(now, to), now),
       wants: this.missed.has(to),
       knocks: [...[...this.owner.knocks].map(([host, at]) => ({ host, ageMs: now - at })), ...this.peers.knocksHeard()],
       avoids: this.claims.avoided(),
@@ -467,20 +465,28 @@
     };
   }
 
-  private machineNews(now: number, to: string): MachineNews[] {
-    const tell = ({ heardAt, warnedUntil, ...rest }: MachineInfo, knownAt: number): MachineNews => ({
-      ...rest,
-      number: -1,
-      heardAgeMs: now - heardAt,
-      knownAgeMs: now - knownAt,
-      warnedMs: warnedUntil === null ? null : warnedUntil - now,
-    });
+  private own: Own = { at: -Infinity, machines: [] };
+
+  /** The machines of this node's parts, described once for all peers. */
+  private ownNews(now: number): Own {
+    if (now - this.own.at < GOSSIP_VIEW_MS) return this.own;
     // A node that must not answer its workers knows nothing of them either.
-    const own = this.fleet.own().filter(({ host }) => this.claims.mayAnswer(this.owner.roleOf(host)) !== undefined);
-    // A whole copy from everybody to everybody grows with machines and nodes; only what a peer can't hear itself goes round.
-    const passed = this.fleet.passOn((owner) => owner !== to && !this.peers.hears(to, owner));
-    const others = [...passed].map(({ machine, knownAt }) => tell(machine, knownAt));
-    return [...own.map((machine) => tell(machine, now)), ...others];
+    const mine = this.claims.ownedParts().filter((part) => this.claims.mayAnswer(partRole(part)) !== undefined);
+    const machines = this.fleet.own().filter(({ host }) => mine.includes(this.claims.partOf(host)));
+    this.own = ownAt(
+      now,
+      machines.map((machine) => newsOf(machine, now, now)),
+    );
+    return this.own;
+  }
+
+  /** Of others' machines only what a peer can't hear itself: all from everybody to everybody would grow with both. */
+  private passedNews(now: number, to: string): MachineNews[] {
+    const nodes = this.settings.peers.map(({ node }) => node);
+    const unheard = new Set(nodes.filter((owner) => owner !== to && !this.peers.hears(to, owner)));
+    if (unheard.size === 0) return [];
+    const passed = this.fleet.passOn((owner) => unheard.has(owner));
+    return [...passed].map(({ machine, knownAt }) => newsOf(machine, now, knownAt));
   }
 
   private hear(gossip: Gossip): void {
@@ -501,3 +507,11 @@
     }
   }
 }
+
+const newsOf = ({ heardAt, warnedUntil, ...rest }: MachineInfo, now: number, knownAt: number): MachineNews => ({
+  ...rest,
+  number: -1,
+  heardAgeMs: now - heardAt,
+  knownAgeMs: now - knownAt,
+  warnedMs: warnedUntil === null ? null : warnedUntil - now,
+});
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -1,5 +1,6 @@
 import {
   KNOCK_MS,
+  MAX_GREETINGS,
   MAX_ORDERS_BYTES,
   PEER_WORD_MS,
   PUSH_GATHER_MS,
@@ -66,6 +67,7 @@
   private readonly teams: Map<string, Team>;
   private readonly stragglers: Stragglers;
   private readonly pushes = new Set<string>();
+  private readonly greeting = new Set<string>();
   private readonly raisedAt = new Map<string, number>();
   /** Attempts whose end is handed to the ledger and not yet recorded, also on machines that this node has never heard. */
   private readonly recording = new Set<string>();
@@ -185,7 +187,8 @@
       const ref = parseShard(name)?.ref;
       const spec = ref === undefined ? undefined : this.book.jobs.get(ref)?.record.spec;
       if (spec === undefined || (task.phase === 'exited' && task.cause !== 'done')) continue;
-      worker.noteImage(spec.Bundle, spec.SizeGb, this.events.cacheGb(worker.flavor));
+      if (worker.isFirstLook(`${name}#${task.attempt}`))
+        worker.noteImage(spec.Bundle, spec.SizeGb, this.events.cacheGb(worker.flavor));
     }
   }
 
@@ -342,7 +345,11 @@
   async greet(host: string, endpoint: string, tenure: number): Promise<void> {
     const held = this.claims.holding(this.roleOf(host));
     if (held === undefined || this.workers.has(host)) return;
+    // The next look comes soon, and most workers report before their turn.
+    if (this.greeting.has(host) || this.greeting.size >= MAX_GREETINGS) return;
+    this.greeting.add(host);
     const result = await sendCommands(this.http, endpoint, held.fence, tenure, []);
+    this.greeting.delete(host);
     if (!('report' in result) || result.report?.host !== host || this.claims.holding(this.roleOf(host)) !== held)
       return;
     const worker = this.workers.get(host) ?? new Worker(host);
--- a/src/mesh/tellings.ts
+++ b/src/mesh/tellings.ts
@@ -9,6 +9,18 @@
   return [endpoint, flavor, site, tenure, flags, owner, ...machine.images, '', ...machine.failedJobs].join(' ');
 };
 
+/** The sender's own machines as they were at one moment, for all peers that are told within the next. */
+export interface Own {
+  /** Steady ms. */
+  at: number;
+  machines: readonly { news: MachineNews; lasting: string }[];
+}
+
+export const ownAt = (at: number, machines: readonly MachineNews[]): Own => ({
+  at,
+  machines: machines.map((news) => ({ news, lasting: lasting(news) })),
+});
+
 /**
  * What each peer has been told of this node's own machines. Said again in full every second, that grows with machines and
  * nodes; so a peer is told in full what has changed, and of the rest only when it was last heard, by its number.
@@ -18,18 +30,17 @@
   private next = 0;
   private readonly peers = new Map<string, { seq: number; told: Map<string, string> }>();
 
-  constructor(
-    private readonly node: string,
-    /** Tells this process from its former lives. */
-    private readonly life: number,
-  ) {}
+  /** `life` tells this process from its former ones. */
+  constructor(private readonly life: number) {}
 
   /** The peer has missed something, or may have: next time it is told all. */
   renew(peer: string): void {
     this.peers.get(peer)?.told.clear();
   }
 
-  compose(peer: string, machines: readonly MachineNews[]): Told {
+  compose(peer: string, own: Own, passedOn: readonly MachineNews[], now: number): Told {
+    const { machines } = own;
+    const age = now - own.at;
     // Names never come back, so numbers of machines that are gone are given up now and then.
     if (this.numbers.size > 2 * machines.length + 100) {
       this.numbers.clear();
@@ -38,26 +49,23 @@
     let known = this.peers.get(peer);
     if (known === undefined) this.peers.set(peer, (known = { seq: 0, told: new Map() }));
     const whole = known.told.size === 0;
-    const changed: MachineNews[] = [];
+    // What is passed on from others comes and goes: it has no numbers.
+    const changed = [...passedOn];
     const same: Told['same'] = { numbers: [], heardAgesMs: [], ticks: [] };
-    for (const machine of machines) {
-      // What is passed on from others comes and goes, and a notice runs down all the time.
-      if (machine.owner !== this.node || machine.warnedMs !== null) {
-        known.told.delete(machine.host);
-        changed.push(machine);
-        continue;
-      }
-      let number = this.numbers.get(machine.host);
-      if (number === undefined) this.numbers.set(machine.host, (number = this.next++));
-      const now = lasting(machine);
-      if (known.told.get(machine.host) === now) {
+    for (const { news, lasting } of machines) {
+      const { host } = news;
+      let number = this.numbers.get(host);
+      if (number === undefined) this.numbers.set(host, (number = this.next++));
+      // A notice runs down all the time.
+      if (known.told.get(host) === lasting && news.warnedMs === null) {
         same.numbers.push(number);
-        same.heardAgesMs.push(Math.round(machine.heardAgeMs));
-        same.ticks.push(machine.tick);
-      } else {
-        known.told.set(machine.host, now);
-        changed.push({ ...machine, number });
+        same.heardAgesMs.push(Math.round(news.heardAgeMs + age));
+        same.ticks.push(news.tick);
+        continue;
       }
+      known.told.set(host, lasting);
+      const warnedMs = news.warnedMs === null ? null : news.warnedMs - age;
+      changed.push({ ...news, number, heardAgeMs: news.heardAgeMs + age, knownAgeMs: age, warnedMs });
     }
     return { life: this.life, seq: ++known.seq, whole, machines: changed, same };
   }
@@ -80,7 +88,13 @@
     for (const [at, number] of same.numbers.entries()) {
       const machine = sender.machines.get(number);
       if (machine === undefined) continue;
-      list.push({ ...machine, heardAgeMs: same.heardAgesMs[at]!, tick: same.ticks[at]!, knownAgeMs: 0 });
+      list.push({
+        ...machine,
+        heardAgeMs: same.heardAgesMs[at]!,
+        tick: same.ticks[at]!,
+        warnedMs: null,
+        knownAgeMs: 0,
+      });
     }
     return { machines: list, gap };
   }
--- a/src/workers/worker.ts
+++ b/src/workers/worker.ts
@@ -64,6 +64,8 @@
   readonly runningSince = new Map<string, number>();
   /** Attempts that ran already when this worker was first heard: how long they take can't be told. */
   private readonly midway = new Set<string>();
+  /** Attempts whose image is noted. */
+  private readonly looked = new Set<string>();
   /** Bundles that were fetched here, most recently used last. */
   readonly images = new Map<string, number>();
 
@@ -150,10 +152,17 @@
     }
     for (const key of this.firstSeen.keys()) if (!present.has(key)) this.firstSeen.delete(key);
     for (const key of this.runningSince.keys()) if (!present.has(key)) this.runningSince.delete(key);
-    for (const keys of [this.stragglers, this.relieved, this.midway])
+    for (const keys of [this.stragglers, this.relieved, this.midway, this.looked])
       for (const key of keys) if (!present.has(key)) keys.delete(key);
   }
 
+  /** Each attempt is looked at once for its image. */
+  isFirstLook(key: string): boolean {
+    if (this.looked.has(key)) return false;
+    this.looked.add(key);
+    return true;
+  }
+
   /** Is it certain that a launch of this attempt, absent from the last report, won't come any more? */
   isAbsenceFinal(key: string, fence: number): boolean {
     return this.fence === fence && !this.openCommands.has(key) && !this.answeredLaunches.has(key);
