--- a/src/controller/placer.ts
+++ b/src/controller/placer.ts
@@ -141,6 +141,7 @@
     return match(seekers, hosts, {
       allowed: () => true,
       zoneAllows: (_, site, taken) => {
+        if (!spec.Spread && !spec.OneZone) return true;
         const total = new Map(slots);
         for (const [each, count] of taken) total.set(each, (total.get(each) ?? 0) + count);
         return zoneAllows(spec, total, site);
@@ -166,7 +167,10 @@
     const zones = new Map(slots);
     const here = new Map<string, number>();
     const free = hosts.map((host) => ({ ...host, free: { ...host.free } }));
-    for (const host of free) here.set(host.id, this.siblingsOn(spec.Ref, host.id));
+    for (const host of free) here.set(host.id, 0);
+    for (const [, slot] of this.book.jobs.get(spec.Ref)?.known() ?? []) {
+      if (slot.kind === 'placed') here.set(slot.host, (here.get(slot.host) ?? 0) + 1);
+    }
     for (const open of [free.filter(isWarm), free]) {
       for (let most = 1; most <= spec.Shards; most++) {
         const rest = seekers.filter((seeker) => !found.has(seeker.id));
@@ -186,12 +190,6 @@
     return found;
   }
 
-  private siblingsOn(ref: string, host: string): number {
-    let count = 0;
-    for (const place of this.book.placesOn(host)) if (place.ref === ref) count++;
-    return count;
-  }
-
   /** Extensions of the distance: what speaks against a machine, whatever its distance. */
   private tier(spec: JobSpec, machine: MachineInfo): number {
     const flavor = this.fleet.catalog.get(machine.flavor);
--- a/src/placement/matching.ts
+++ b/src/placement/matching.ts
@@ -82,11 +82,14 @@
   }
 
   countOf(group: string): number {
-    return this.tasks.filter((task) => task.group === group).length;
+    let count = 0;
+    for (const task of this.tasks) if (task.group === group) count++;
+    return count;
   }
 
   /** The room there would be without the tasks that rank below this one. */
   roomFor(task: Seeker): boolean {
+    if (holds(this.left, task.peak)) return true;
     const room = { ...this.left };
     for (let at = this.tasks.length - 1; at >= 0 && !holds(room, task.peak); at--) {
       const other = this.tasks[at]!;
@@ -108,8 +111,9 @@
  */
 export function match(seekers: readonly Seeker[], hosts: readonly Host[], rules: MatchRules): Map<string, Host> {
   const lists = new Map<string, Host[]>();
-  const places = new Map(hosts.map((host) => [host.id, new Matched(host)]));
-  const passed = new Map<string, Set<Seeker>>(hosts.map((host) => [host.id, new Set<Seeker>()]));
+  // Made when a task looks at the machine: a few tasks among hundreds of machines see only the first ones.
+  const places = new Map<Host, Matched>();
+  const passed = new Map<Host, Set<Seeker>>();
   const zones = new Map<string, Map<string, number>>();
   const result = new Map<string, Host>();
   const queue = [...seekers];
@@ -128,9 +132,14 @@
     queued.add(task);
     queue.push(task);
   };
+  const pass = (task: Seeker, host: Host) => {
+    const waiting = passed.get(host);
+    if (waiting === undefined) passed.set(host, new Set([task]));
+    else waiting.add(task);
+  };
   const lookAgain = (host: Host) => {
-    const waiting = passed.get(host.id)!;
-    passed.set(host.id, new Set());
+    const waiting = passed.get(host) ?? [];
+    passed.delete(host);
     for (const task of waiting) enqueue(task);
   };
   for (let head = 0; head < queue.length; head++) {
@@ -141,15 +150,16 @@
     const current = result.get(task.id);
     for (const host of list) {
       if (host === current) break;
-      const place = places.get(host.id)!;
+      let place = places.get(host);
+      if (place === undefined) places.set(host, (place = new Matched(host)));
       const zoneOpen = rules.zoneAllows(task.group, host.site, zonesOf(task.group));
       const hostOpen = rules.hostAllows(task.group, host, place.countOf(task.group));
       if (!zoneOpen || !hostOpen || !place.roomFor(task)) {
-        passed.get(host.id)!.add(task);
+        pass(task, host);
         continue;
       }
       if (current !== undefined) {
-        places.get(current.id)!.remove(task);
+        places.get(current)!.remove(task);
         countZone(task, current, -1);
         lookAgain(current);
       }
