--- a/src/constants.ts
+++ b/src/constants.ts
@@ -294,9 +294,6 @@
 /** ms between two sweeps for jobs that are over: `done` may be 3 s late. */
 export const FINISH_PERIOD_MS = 700;
 
-/** Bytes of the record of rentals left for the hosts of those not answered yet. */
-export const HIRES_SPARE_BYTES = 1000;
-
 /** ms between two decisions about renting. */
 export const RENT_PERIOD_MS = 2000;
 
--- a/src/controller/renter.ts
+++ b/src/controller/renter.ts
@@ -1,14 +1,8 @@
-import {
-  HIRES_SPARE_BYTES,
-  MAX_RENT_AT_ONCE,
-  MAX_RESERVE_AT_ONCE,
-  NO_CAPACITY_MS,
-  RESERVE_SHARE,
-} from '../constants.js';
-import type { CloudClient, Hire, ListedMachine } from '../cloud/client.js';
+import { MAX_RENT_AT_ONCE, MAX_RESERVE_AT_ONCE, NO_CAPACITY_MS, RESERVE_SHARE } from '../constants.js';
+import type { CloudClient, ListedMachine } from '../cloud/client.js';
 import type { Settings } from '../config/settings.js';
 import type { Book } from '../ledger/book.js';
-import { hiresKey } from '../ledger/records.js';
+import { hireKey, type HireRecord } from '../ledger/records.js';
 import { zoneAllows, zonesOf } from '../ledger/rules.js';
 import type { Clock } from '../net/clock.js';
 import { Priority } from '../net/token-bucket.js';
@@ -20,17 +14,6 @@
 import type { Waiting } from './placer.js';
 import type { Planner } from './planner.js';
 
-/** A rental as it is kept: written before the request is sent, so that no leader asks twice for one need. */
-interface HireRecord extends Hire {
-  /** Time of day, ms. */
-  at: number;
-  /** null: not answered yet. */
-  hosts: string[] | null;
-}
-
-const decodeHires = (value: unknown): HireRecord[] =>
-  Array.isArray((value as { hires?: unknown } | undefined)?.hires) ? (value as { hires: HireRecord[] }).hires : [];
-
 /** Rents machines for what has no place, and for the reserve, under names that are never used twice. */
 export class Renter {
   private readonly noCapacity = new Map<string, number>();
@@ -50,16 +33,14 @@
     private readonly listed: () => ReadonlyMap<string, ListedMachine>,
   ) {}
 
-  private hires(): HireRecord[] {
-    return decodeHires(this.book.record(hiresKey));
-  }
-
-  private async editHires(change: (hires: HireRecord[]) => HireRecord[] | undefined): Promise<boolean> {
+  /** Changes the records of rentals, one for each, so that none outgrows what the store keeps under a key. */
+  private async note(hires: readonly HireRecord[], drop = false): Promise<boolean> {
     const outcome = await this.committer.commit('hires', Priority.start, (draft) => {
       if (!this.claims.require(draft, LEADER)) return false;
-      const next = change(decodeHires(draft.get(hiresKey)));
-      if (next === undefined) return false;
-      draft.set(hiresKey, { hires: next });
+      for (const hire of hires) {
+        if (drop) draft.drop(hireKey(hire.name));
+        else draft.set(hireKey(hire.name), hire);
+      }
       return true;
     });
     return outcome.kind === 'done';
@@ -100,19 +81,21 @@
 
   /** True: something was refused, so that another look may find another offer. */
   async round(): Promise<boolean> {
-    const hires = this.hires();
+    const hires = [...this.book.hires.values()];
     const wall = this.clock.wall();
     const heard = this.fleet.all();
     // First the requests of a former leader, or of a lost answer: the same name gets the same machines.
-    const open = hires.find((hire) => hire.hosts === null);
-    if (open !== undefined) {
-      await this.ask(open);
+    const open = hires.filter((hire) => hire.hosts === null);
+    if (open.length > 0) {
+      await Promise.all(open.map((hire) => this.ask(hire)));
       return true;
     }
     const over = (hire: HireRecord) =>
       hire.hosts!.every((host) => heard.has(host) || this.fleet.gone.has(host)) ||
       wall - hire.at > 2 * bootLimitMs(this.fleet.catalog.get(hire.flavor));
-    if (hires.some(over)) await this.editHires((list) => list.filter((hire) => hire.hosts === null || !over(hire)));
+    const most = this.settings.cluster.state.txn_ops;
+    const past = hires.filter(over).slice(0, most);
+    if (past.length > 0) await this.note(past, true);
     const coming: Offer[] = [];
     const counted = new Set<string>();
     const expect = (host: string, flavorName: string, site: string, reclaimable: boolean, ageMs: number) => {
@@ -135,7 +118,7 @@
     if (reserve !== undefined) wanted.push(reserve);
     const held = this.claims.holding(LEADER);
     if (held === undefined || wanted.length === 0) return false;
-    const records = wanted.map((offer): HireRecord => ({
+    const records = wanted.slice(0, most).map((offer): HireRecord => ({
       // The leader's fence is unique in the store, so no other node or life ever makes this name.
       name: `r-${held.fence}-${++this.sequence}`,
       flavor: offer.flavor.sku,
@@ -145,12 +128,8 @@
       at: wall,
       hosts: null,
     }));
-    // All wanted at one moment share one change of the record, which must not outgrow what the store keeps under a key.
-    const room = this.settings.cluster.state.value_kb * 1024 - HIRES_SPARE_BYTES;
-    const noted = await this.editHires((list) => {
-      const next = [...list, ...records];
-      return JSON.stringify(next).length <= room ? next : undefined;
-    });
+    // All wanted at one moment share one transaction.
+    const noted = await this.note(records);
     if (!noted) return false;
     const full = await Promise.all(records.map((record) => this.ask(record)));
     return full.includes(false);
@@ -199,14 +178,12 @@
       if (result.hosts.length < record.count && flavor !== undefined) {
         this.noCapacity.set(offerName({ ...record, flavor }), this.clock.now() + NO_CAPACITY_MS);
       }
-      await this.editHires((list) =>
-        list.map((each) => (each.name === record.name ? { ...each, hosts: result.hosts } : each)),
-      );
+      await this.note([{ ...record, hosts: result.hosts }]);
     } else if (result.kind === 'no_capacity' || result.kind === 'malformed') {
       if (flavor !== undefined) {
         this.noCapacity.set(offerName({ ...record, flavor }), this.clock.now() + NO_CAPACITY_MS);
       }
-      await this.editHires((list) => list.filter((each) => each.name !== record.name));
+      await this.note([record], true);
     } else {
       // Not answered, or refused for now: the same name is sent again, so nothing is rented twice.
       await this.clock.sleep(1000);
--- a/src/ledger/book.ts
+++ b/src/ledger/book.ts
@@ -3,9 +3,11 @@
   chunkKey,
   chunkSize,
   decodeChunk,
+  decodeHire,
   decodeJob,
   LIVE,
   type ClaimRecord,
+  type HireRecord,
   type JobRecord,
   type Placed,
   type Slot,
@@ -78,11 +80,14 @@
 const JOB = `${LIVE}job/`;
 const LEDGER = `${LIVE}ledger/`;
 const CLAIM = `${LIVE}claim/`;
+const HIRE = `${LIVE}hire/`;
 
 /** The replica's records, read and indexed: jobs, places by machine, claims. */
 export class Book {
   readonly jobs = new Map<string, JobView>();
   readonly claims = new Map<string, { record: ClaimRecord; stamp: number }>();
+  /** Rentals that are not over. */
+  readonly hires = new Map<string, HireRecord>();
   private readonly hosts = new Map<string, Map<string, Place>>();
   /** Room that each machine's places take, and each team's use, kept up with every change instead of summed anew. */
   private readonly taken = new Map<string, Room>();
@@ -126,15 +131,12 @@
       if (!this.unreadable.has(`${JOB}${ref}`)) yield { ref, chunks: [...chunks.keys()] };
   }
 
-  record(key: string): unknown {
-    return this.replica.get(key).value;
-  }
-
   private take(key: string, now: Stored): void {
     try {
       if (key.startsWith(JOB)) this.takeJob(key.slice(JOB.length), now.value);
       else if (key.startsWith(LEDGER)) this.takeChunk(key.slice(LEDGER.length), now.value);
       else if (key.startsWith(CLAIM)) this.takeClaim(key.slice(CLAIM.length), now);
+      else if (key.startsWith(HIRE)) this.takeHire(key.slice(HIRE.length), now.value);
       this.unreadable.delete(key);
     } catch (error) {
       // Refuse to act on what can't be read: the job stays out of the book, and its places stay taken in the store.
@@ -143,6 +145,11 @@
     }
   }
 
+  private takeHire(name: string, value: unknown): void {
+    if (value === undefined) this.hires.delete(name);
+    else this.hires.set(name, decodeHire(value));
+  }
+
   private takeClaim(role: string, now: Stored): void {
     if (now.value === undefined) this.claims.delete(role);
     else this.claims.set(role, { record: now.value as ClaimRecord, stamp: now.stamp });
--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -12,7 +12,7 @@
   `${LIVE}ledger/${ref}/${String(chunk).padStart(4, '0')}`;
 export const teamKey = (team: string): string => `${LIVE}team/${team}`;
 export const flavorKey = (sku: string): string => `${LIVE}flavor/${encodeURIComponent(sku)}`;
-export const hiresKey = `${LIVE}hires`;
+export const hireKey = (name: string): string => `${LIVE}hire/${name}`;
 export const endedKey = (ref: string): string => `ended/${ref}`;
 
 export type Shape = 'array' | 'ensemble' | 'service';
@@ -62,6 +62,19 @@
   latch: number;
 }
 
+/** A rental as it is kept: written before the request is sent, so that no leader asks twice for one need. */
+export interface HireRecord {
+  name: string;
+  flavor: string;
+  site: string;
+  reclaimable: boolean;
+  count: number;
+  /** Time of day, ms. */
+  at: number;
+  /** null: not answered yet. */
+  hosts: string[] | null;
+}
+
 export interface TeamRecord {
   cpus: number;
   cards: number;
@@ -156,6 +169,14 @@
   return job!;
 }
 
+export function decodeHire(value: unknown): HireRecord {
+  const hire = value as HireRecord | null;
+  const texts = [hire?.name, hire?.flavor, hire?.site].every((each) => typeof each === 'string');
+  if (!texts || !isCount(hire!.count) || typeof hire!.at !== 'number') throw new CorruptRecord('rental');
+  if (hire!.hosts !== null && !Array.isArray(hire!.hosts)) throw new CorruptRecord('rental');
+  return hire!;
+}
+
 export function decodeTeam(value: unknown): TeamRecord {
   if (value === undefined) return { cpus: 0, cards: 0 };
   const team = value as TeamRecord | null;
