--- a/src/constants.ts
+++ b/src/constants.ts
@@ -33,6 +33,12 @@
 /** ms that ledger changes of one machine are collected before its worker is told. */
 export const PUSH_GATHER_MS = 5;
 
+/**
+ * ms that launches of batch tasks wait for others on the same machine, or for its next report: a busy machine reports about
+ * once a second, and the answer takes them along for nothing.
+ */
+export const BATCH_PUSH_GATHER_MS = 250;
+
 /** ms between two raises of one part's fence: each makes every worker of the part report. */
 export const RAISE_PAUSE_MS = 5000;
 
@@ -155,7 +161,7 @@
  * ms that exits and starts of batch work are collected before they are packed: tasks run for tens of seconds, and each
  * transaction costs requests, changes of shared records, and news to every node.
  */
-export const BATCH_GATHER_MS = 100;
+export const BATCH_GATHER_MS = 200;
 
 /** Intents that no longer fit, after which a transaction counts as full. */
 export const PACK_MISSES = 4;
@@ -318,7 +324,7 @@
  * gangs, may take more.
  */
 export const WORK_SHARE = 0.015;
-export const URGENT_WORK_SHARE = 0.06;
+export const URGENT_WORK_SHARE = 0.04;
 
 /** ms between two preemption rounds: the exits of the last must have been seen. */
 export const PREEMPT_PERIOD_MS = 200;
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,6 +1,7 @@
 import { randomInt } from 'node:crypto';
 import {
   AVOID_MS,
+  BATCH_PUSH_GATHER_MS,
   GOSSIP_SOON_MS,
   GOSSIP_VIEW_MS,
   GREET_PERIOD_MS,
@@ -337,13 +338,16 @@
     this.planner.poke(view !== undefined && view.record.spec.Shape !== 'array' && view.queued.length > 0);
     if (view === undefined) return;
     const withdrawn = view.record.phase === 'withdrawn';
+    const isBatch = view.record.spec.Shape === 'array';
     for (const shard of shards ?? [...view.known()].map(([each]) => each)) {
       const slot = view.slot(shard);
       if (slot.kind !== 'placed') continue;
       const worker = this.owner.workers.get(slot.host);
       const task = worker?.tasks.get(shardName(ref, shard));
       const unlaunched = task === undefined || task.attempt !== slot.attempt;
-      if (worker !== undefined && (unlaunched || withdrawn || slot.stop !== null)) this.owner.push(slot.host);
+      if (worker === undefined) continue;
+      if (withdrawn || slot.stop !== null) this.owner.push(slot.host);
+      else if (unlaunched) this.owner.push(slot.host, isBatch ? BATCH_PUSH_GATHER_MS : undefined);
     }
     if (view.placed === 0 && (withdrawn || view.complete)) this.finish(ref);
   }
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -66,7 +66,8 @@
   private readonly strandedSince = new Map<string, number>();
   private readonly teams: Map<string, Team>;
   private readonly stragglers: Stragglers;
-  private readonly pushes = new Set<string>();
+  /** Steady ms of the next push to each machine. */
+  private readonly pushes = new Map<string, number>();
   private readonly greeting = new Set<string>();
   private readonly raisedAt = new Map<string, number>();
   /** Attempts whose end is handed to the ledger and not yet recorded, also on machines that this node has never heard. */
@@ -244,10 +245,13 @@
   }
 
   /** The ledger of a machine has changed: tell its worker soon, without waiting for its next report. */
-  push(host: string): void {
-    if (this.pushes.has(host)) return;
-    this.pushes.add(host);
-    void this.clock.sleep(PUSH_GATHER_MS).then(() => {
+  push(host: string, gatherMs = PUSH_GATHER_MS): void {
+    const due = this.clock.now() + gatherMs;
+    if ((this.pushes.get(host) ?? Infinity) <= due) return;
+    this.pushes.set(host, due);
+    void this.clock.sleep(gatherMs).then(() => {
+      // A push that could not wait has been quicker, or stands in for this one.
+      if (this.pushes.get(host) !== due) return undefined;
       this.pushes.delete(host);
       return this.pushNow(host);
     });
