--- /dev/null
+++ b/test/fleet.test.ts
@@ -0,0 +1,207 @@
+import assert from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+import { decodeChunk, withSlot, type Slot } from '../src/ledger/records.js';
+import type { Gossip, MachineNews } from '../src/mesh/messages.js';
+import { Heard, ownAt, Tellings } from '../src/mesh/tellings.js';
+import { Priority } from '../src/net/token-bucket.js';
+import { Random } from '../src/net/random.js';
+import type { StateClient, TxnResult } from '../src/state/client.js';
+import { Committer } from '../src/state/committer.js';
+import { Replica } from '../src/state/replica.js';
+import { jsonLength } from '../src/state/sizes.js';
+import { Cluster } from '../src/testing/cluster.js';
+import { FakeClock } from '../src/testing/fake-clock.js';
+
+let cluster: Cluster | undefined;
+afterEach(() => {
+  cluster?.stop();
+  cluster = undefined;
+});
+
+async function ready(nodes: number, machines: number, cluster_ = {}, teams = [{ name: 'red' }]): Promise<Cluster> {
+  cluster = new Cluster({ nodes, teams, cluster: cluster_ });
+  for (let index = 0; index < machines; index++) {
+    const host = `i-${String(index).padStart(6, '0')}`;
+    cluster.addWorker({ host, site: ['a', 'b', 'c'][index % 3]!, runMs: 5000 });
+  }
+  await cluster.advance(6000);
+  return cluster;
+}
+
+const machine = (host: string, fields: Partial<MachineNews> = {}): MachineNews => ({
+  ...{ host, number: -1, endpoint: `${host}:9000`, flavor: 'c8', site: 'a', reclaimable: false, tenure: 1, tick: 5 },
+  ...{ heardAgeMs: 100, knownAgeMs: 0, warnedMs: null, sick: false, cooling: false, unreached: false, slow: false },
+  ...{ mute: false, images: ['img-1'], failedJobs: [], owner: 'n0' },
+  ...fields,
+});
+
+const asGossip = (told: ReturnType<Tellings['compose']>): Gossip => ({
+  ...{
+    node: 'n0',
+    upMs: 1,
+    freshAgeMs: 1,
+    withoutStore: false,
+    hears: [],
+    wants: false,
+    knocks: [],
+    avoids: [],
+    gone: [],
+  },
+  ...told,
+});
+
+describe('gossip of hundreds of machines', () => {
+  const many = Array.from({ length: 300 }, (_, n) => machine(`i-${n}`));
+
+  it('tells in full only what has changed, and of the rest when it was heard', () => {
+    const tellings = new Tellings(1);
+    const heard = new Heard();
+    assert.equal(heard.take(asGossip(tellings.compose('n1', ownAt(0, many), [], 0))).machines.length, 300);
+    const later = many.map((each, n) => ({ ...each, tick: 9, heardAgeMs: 40, cooling: n === 7 }));
+    const told = tellings.compose('n1', ownAt(1000, later), [], 1010);
+    assert.deepEqual(
+      told.machines.map(({ host }) => host),
+      ['i-7'],
+    );
+    const { machines, gap } = heard.take(asGossip(told));
+    assert.equal(gap, false);
+    assert.equal(machines.length, 300);
+    const other = machines.find(({ host }) => host === 'i-8')!;
+    assert.deepEqual([other.tick, other.heardAgeMs, other.knownAgeMs, other.cooling], [9, 50, 0, false]);
+  });
+
+  it('is told whole again to a peer that has missed some, which believes nothing built on it until then', () => {
+    const tellings = new Tellings(1);
+    const heard = new Heard();
+    heard.take(asGossip(tellings.compose('n1', ownAt(0, many), [], 0)));
+    // Lost: machine 3 has begun a new session.
+    const now = many.map((each, n) => (n === 3 ? { ...each, tenure: 2 } : each));
+    tellings.compose('n1', ownAt(1000, now), [], 1000);
+    const after = heard.take(asGossip(tellings.compose('n1', ownAt(2000, now), [], 2000)));
+    assert.equal(after.gap, true);
+    assert.equal(after.machines.length, 0);
+    tellings.renew('n1');
+    const whole = heard.take(asGossip(tellings.compose('n1', ownAt(3000, now), [], 3000)));
+    assert.equal(whole.gap, false);
+    assert.equal(whole.machines.find(({ host }) => host === 'i-3')!.tenure, 2);
+  });
+
+  it('of a former life, or held back by a cut, changes nothing', () => {
+    const tellings = new Tellings(1);
+    const heard = new Heard();
+    const first = asGossip(tellings.compose('n1', ownAt(0, many), [], 0));
+    const second = asGossip(tellings.compose('n1', ownAt(1000, many), [], 1000));
+    heard.take(first);
+    heard.take(second);
+    assert.equal(heard.take(first).machines.length, 0);
+    const restarted = new Tellings(2);
+    assert.equal(heard.take(asGossip(restarted.compose('n1', ownAt(0, many), [], 0))).gap, false);
+  });
+
+  it('goes on between controllers when one message was lost', async () => {
+    await ready(2, 12);
+    cluster!.parted.add('n0>n1');
+    cluster!.node(0).gossip('n1');
+    cluster!.parted.delete('n0>n1');
+    await cluster!.advance(3000);
+    const all = [...cluster!.node(1).fleet.all().values()];
+    assert.equal(all.length, 12);
+    assert.ok(all.every((each) => cluster!.node(1).fleet.isOpen(each)));
+  });
+});
+
+describe('a chunk of a ledger', () => {
+  const placed: Slot = {
+    ...{ kind: 'placed', attempt: 1, fails: 0, host: 'i-1', tenure: 1, stop: null, site: 'a' },
+  };
+
+  it('keeps the slots that a change leaves alone, and its measured length', () => {
+    const one = withSlot(undefined, 64, 3, placed);
+    const two = withSlot(one, 64, 9, placed);
+    assert.equal(decodeChunk(two, 64)[3], decodeChunk(one, 64)[3]);
+    assert.equal(jsonLength(two), JSON.stringify(two).length);
+    // As it comes from the store or a peer.
+    const copy = decodeChunk(JSON.parse(JSON.stringify(two)), 64, decodeChunk(two, 64));
+    assert.ok(copy.every((slot, at) => slot === decodeChunk(two, 64)[at]));
+    assert.deepEqual(decodeChunk(JSON.parse(JSON.stringify(two)), 64), decodeChunk(two, 64));
+  });
+});
+
+describe('exits of batch tasks', () => {
+  it('that come one by one share a transaction; a submission among them does not wait', async () => {
+    const clock = new FakeClock();
+    const sent: { keys: number; at: number }[] = [];
+    const txn = (_: unknown, writes: unknown[]): Promise<TxnResult> => {
+      sent.push({ keys: writes.length, at: clock.now() });
+      return Promise.resolve({ kind: 'done', epoch: sent.length });
+    };
+    const client = { txn } as unknown as StateClient;
+    const limits = { ops: 12, batchOps: 12, conditions: 48, bytes: 60_000 };
+    const committer = new Committer(client, new Replica(client, 'live/', clock), limits, 'live/', clock, new Random(1));
+    const put = (key: string, priority: Priority) =>
+      void committer.commit(key, priority, (draft) => {
+        draft.set(key, {});
+        return true;
+      });
+    for (let n = 0; n < 8; n++) {
+      put(`live/exit-${n}`, Priority.record);
+      await clock.advance(10);
+    }
+    const before = clock.now();
+    put('live/job', Priority.accept);
+    await clock.advance(1);
+    assert.deepEqual(sent, [{ keys: 1, at: before }]);
+    await clock.advance(500);
+    assert.equal(sent.length, 2);
+    assert.equal(sent[1]!.keys, 8);
+  });
+});
+
+describe('renting', () => {
+  it('goes on when many rentals are under way and values are small', async () => {
+    cluster = new Cluster({
+      nodes: 1,
+      teams: [{ name: 'red' }],
+      cluster: { state: { rps: 500, write_rps: 200, value_kb: 1, txn_ops: 12 } },
+    });
+    cluster.addWorker({ host: 'i-900001', runMs: 600_000 });
+    await cluster.advance(5000);
+    await cluster.submit({ Ref: 'j-big1', Shards: 400, Cpus: 8, GuessS: 600 });
+    await cluster.advance(40_000);
+    const rented = [...cluster.cloud.machines.keys()].length;
+    assert.ok(rented > 150, `${rented} machines`);
+    const rows = [...cluster.store.rows].filter(([key]) => key.startsWith('live/hire/'));
+    assert.ok(rows.every(([, { value }]) => JSON.stringify(value).length < 1024));
+  });
+});
+
+describe('a node that takes over hundreds of machines', () => {
+  it('greets them a few at a time', async () => {
+    await ready(2, 240);
+    await cluster!.submit({ Ref: 'j-svc1', Shape: 'service', Shards: 400, MemGb: 1, Rank: 'prod' });
+    await cluster!.advance(8000);
+    const asked = () => cluster!.network.log.filter(({ from, path }) => from === 'n0' && path === '/commands').length;
+    for (const host of cluster!.workers.keys()) cluster!.cut.add(host);
+    cluster!.crash(1);
+    let before = asked();
+    let most = 0;
+    for (let n = 0; n < 80; n++) {
+      await cluster!.advance(100);
+      most = Math.max(most, asked() - before);
+      before = asked();
+    }
+    assert.ok(most > 0 && most <= 30, `${most} in a tenth of a second`);
+  });
+});
+
+describe('an idle cluster of 900 machines', () => {
+  it('looks at each machine a few times a second, however many duties there are', async () => {
+    await ready(3, 900);
+    const { fleet } = cluster!.node(0);
+    let looks = 0;
+    const isSilent = fleet.isSilent.bind(fleet);
+    fleet.isSilent = (each) => (looks++, isSilent(each));
+    await cluster!.advance(2000);
+    assert.ok(looks / 2 < 900 * 20, `${looks / 2} looks a second`);
+  });
+});
