--- a/src/constants.ts
+++ b/src/constants.ts
@@ -64,7 +64,7 @@
 export const GOSSIP_MS = 1000;
 
 /** ms for which one description of a node's own machines serves all peers: links tick at different moments. */
-export const GOSSIP_VIEW_MS = 450;
+export const GOSSIP_VIEW_MS = 900;
 
 /** Workers greeted at once after a takeover: hundreds of connections in one tick would keep reports waiting. */
 export const MAX_GREETINGS = 24;
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -18,7 +18,7 @@
 import { ApiServer } from '../api/server.js';
 import { CloudClient, decodeCatalog } from '../cloud/client.js';
 import type { Settings, Tuning } from '../config/settings.js';
-import { Book } from '../ledger/book.js';
+import { Book, type JobView } from '../ledger/book.js';
 import { endJob } from '../ledger/edits.js';
 import { chunkKey, jobKey, LIVE, parseShard, shardName } from '../ledger/records.js';
 import { Mesh, splitAddress } from '../mesh/mesh.js';
@@ -42,6 +42,7 @@
 import type { Log } from './log.js';
 import { Mover } from './mover.js';
 import { Owner } from './owner.js';
+import { isLarge } from './placer.js';
 import { Planner } from './planner.js';
 
 const FLAVOR = `${LIVE}flavor/`;
@@ -335,7 +336,7 @@
 
   private jobChanged(ref: string, shards?: readonly number[]): void {
     const view = this.book.jobs.get(ref);
-    this.planner.poke(view !== undefined && view.record.spec.Shape !== 'array' && view.queued.length > 0);
+    this.planner.poke(view !== undefined && this.isUrgent(view));
     if (view === undefined) return;
     const withdrawn = view.record.phase === 'withdrawn';
     const isBatch = view.record.spec.Shape === 'array';
@@ -352,6 +353,13 @@
     if (view.placed === 0 && (withdrawn || view.complete)) this.finish(ref);
   }
 
+  /** Does work wait here for seconds at most, that this very node places? */
+  private isUrgent({ ref, record, queued }: JobView): boolean {
+    if (record.spec.Shape === 'array' || queued.length === 0) return false;
+    const role = isLarge(record.spec) ? LEADER : partRole(this.claims.partOf(ref));
+    return this.claims.holding(role) !== undefined;
+  }
+
   private claimChanged(): void {
     this.planner.poke();
     void this.claims.settle();
