--- a/src/constants.ts
+++ b/src/constants.ts
@@ -276,6 +276,9 @@
 /** ms an idle machine beyond the wanted reserve is kept (hysteresis against renting again). */
 export const IDLE_RETURN_MS = 180_000;
 
+/** ms between two looks for idle machines. */
+export const IDLE_LOOK_MS = 5000;
+
 /** Share of all room kept free as reserve for bursts: a machine takes longer to boot than work may wait. */
 export const RESERVE_SHARE = 0.3;
 
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -506,16 +506,17 @@
     for (const host of gossip.gone) this.fleet.remove(host);
     const now = this.clock.now();
     if (gossip.wants) this.tellings.renew(gossip.node);
-    const { machines, gap } = this.heard.take(gossip);
+    const { machines, same, gap } = this.heard.take(gossip);
     if (gap && !this.missed.has(gossip.node)) {
       this.missed.add(gossip.node);
       this.log.info({ from: gossip.node }, 'a message of the peer is missing');
       this.gossipSoon();
     }
     if (gossip.whole) this.missed.delete(gossip.node);
-    for (const { heardAgeMs, knownAgeMs, warnedMs, ...rest } of machines) {
-      const warnedUntil = warnedMs === null ? null : now + warnedMs;
-      this.fleet.hear({ ...rest, heardAt: now - heardAgeMs, warnedUntil }, now - knownAgeMs);
+    for (const machine of machines) this.fleet.hear(infoOf(machine, now), now - machine.knownAgeMs);
+    for (const { machine, heardAgeMs, tick } of same) {
+      if (this.fleet.hearAgain(machine.host, gossip.node, now - heardAgeMs, tick, now)) continue;
+      this.fleet.hear(infoOf({ ...machine, heardAgeMs, tick, warnedMs: null }, now), now);
     }
   }
 }
@@ -527,3 +528,9 @@
   knownAgeMs: now - knownAt,
   warnedMs: warnedUntil === null ? null : warnedUntil - now,
 });
+
+const infoOf = ({ heardAgeMs, warnedMs, ...rest }: MachineNews, now: number): MachineInfo => ({
+  ...rest,
+  heardAt: now - heardAgeMs,
+  warnedUntil: warnedMs === null ? null : now + warnedMs,
+});
--- a/src/controller/fleet.ts
+++ b/src/controller/fleet.ts
@@ -83,6 +83,17 @@
     this.told.set(machine.host, machine);
   }
 
+  /** The owner says that nothing is new but when it heard the machine. False: what it said before is not known here. */
+  hearAgain(host: string, owner: string, heardAt: number, tick: number, now: number): boolean {
+    const machine = this.told.get(host);
+    if (this.gone.has(host)) return true;
+    if (machine?.owner !== owner || machine.warnedUntil !== null) return false;
+    machine.heardAt = heardAt;
+    machine.tick = tick;
+    this.knownAt.set(host, now);
+    return true;
+  }
+
   /** What others have said lately, to be passed on: a cut between two nodes is got round by way of the third. */
   *passOn(wanted: (owner: string) => boolean): Iterable<{ machine: MachineInfo; knownAt: number }> {
     for (const [host, machine] of this.told) {
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -1,4 +1,5 @@
 import {
+  IDLE_LOOK_MS,
   IDLE_RETURN_MS,
   LIST_PERIOD_MS,
   PREEMPT_PERIOD_MS,
@@ -40,6 +41,7 @@
   private readonly preempter: Preempter;
   private readonly renter: Renter;
   private catalogAt = -Infinity;
+  private idleLookAt = -Infinity;
   /** Since when each role is seen in the hands of its present owner. */
   private readonly ownerSince = new Map<string, { latch: number; at: number }>();
   /** When each zone was last seen cut off. */
@@ -153,7 +155,11 @@
     const now = this.clock.now();
     const all = this.fleet.all();
     const back = new Set<string>([...this.silent(all), ...this.useless(all)]);
-    for (const host of this.idle()) back.add(host);
+    // Idle machines are kept for minutes, so they are looked for now and then.
+    if (now >= this.idleLookAt) {
+      this.idleLookAt = now + IDLE_LOOK_MS;
+      for (const host of this.idle()) back.add(host);
+    }
     this.stopOnWarned(all);
     const hosts = [...back].filter((host) => !this.returning.has(host)).slice(0, 50);
     // Places on machines that the cloud has confirmed gone, also those committed on an old view since.
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -211,13 +211,18 @@
     const leader = this.claims.isLeader;
     const parts = new Set(this.claims.ownedParts());
     if (!this.claims.inTouch || (!leader && parts.size === 0) || this.fleet.catalog.size === 0) return;
+    const candidates = this.candidates();
+    if (candidates.length === 0) {
+      this.unplaced = [];
+      return;
+    }
     const machines = this.fleet.open();
     const rooms = this.rooms(machines);
     const uses = this.uses();
     const pools = new Pools(machines, (host) => this.claims.partOf(host));
     const unplaced: Waiting[] = [];
     this.placer.begin();
-    for (const { record, overdue } of this.candidates()) {
+    for (const { record, overdue } of candidates) {
       const { spec } = record;
       const part = this.claims.partOf(spec.Ref);
       const large = isLarge(spec);
--- a/src/mesh/tellings.ts
+++ b/src/mesh/tellings.ts
@@ -71,31 +71,34 @@
   }
 }
 
+/** A machine of which nothing is new but these. */
+export interface Same {
+  machine: MachineNews;
+  heardAgeMs: number;
+  tick: number;
+}
+
 /** What the peers have told of their machines so far. */
 export class Heard {
   private readonly senders = new Map<string, { life: number; seq: number; machines: Map<number, MachineNews> }>();
 
-  /** The machines that a message speaks of, in full; `gap`: it builds on something that never came. */
-  take({ node, life, seq, whole, machines, same }: Gossip): { machines: MachineNews[]; gap: boolean } {
+  /**
+   * The machines that a message speaks of: those told in full, and those of which no more than the times is new. `gap`: the
+   * message builds on something that never came.
+   */
+  take({ node, life, seq, whole, machines, same }: Gossip): { machines: MachineNews[]; same: Same[]; gap: boolean } {
     let sender = this.senders.get(node);
     // A message of a former life, or one that a newer has overtaken, says nothing that is not known better.
-    if (sender?.life === life && seq <= sender.seq) return { machines: [], gap: false };
+    if (sender?.life === life && seq <= sender.seq) return { machines: [], same: [], gap: false };
     const gap = !whole && (sender?.life !== life || seq !== sender.seq + 1);
     if (sender === undefined || whole || gap) this.senders.set(node, (sender = { life, seq, machines: new Map() }));
     sender.seq = seq;
-    const list = [...machines];
+    const still: Same[] = [];
     for (const machine of machines) if (machine.number >= 0) sender.machines.set(machine.number, machine);
     for (const [at, number] of same.numbers.entries()) {
       const machine = sender.machines.get(number);
-      if (machine === undefined) continue;
-      list.push({
-        ...machine,
-        heardAgeMs: same.heardAgesMs[at]!,
-        tick: same.ticks[at]!,
-        warnedMs: null,
-        knownAgeMs: 0,
-      });
+      if (machine !== undefined) still.push({ machine, heardAgeMs: same.heardAgesMs[at]!, tick: same.ticks[at]! });
     }
-    return { machines: list, gap };
+    return { machines, same: still, gap };
   }
 }
