--- a/src/constants.ts
+++ b/src/constants.ts
@@ -34,10 +34,10 @@
 export const PUSH_GATHER_MS = 5;
 
 /**
- * ms that launches of batch tasks wait for others on the same machine, or for its next report: a busy machine reports about
- * once a second, and the answer takes them along for nothing.
+ * Share of a report's period that launches of batch tasks wait for others on the same machine, or for its next report: a busy
+ * machine reports several times in a period, and the answer takes them along for nothing.
  */
-export const BATCH_PUSH_GATHER_MS = 250;
+export const BATCH_PUSH_GATHER_SHARE = 0.1;
 
 /** ms between two raises of one part's fence: each makes every worker of the part report. */
 export const RAISE_PAUSE_MS = 5000;
@@ -158,10 +158,10 @@
 export const MAX_FLIGHTS = 2;
 
 /**
- * ms that exits and starts of batch work are collected before they are packed: tasks run for tens of seconds, and each
- * transaction costs requests, changes of shared records, and news to every node.
+ * Share of a report's period that exits and starts of batch work are collected before they are packed: tasks run for tens of
+ * seconds, and each transaction costs requests, changes of shared records, and news to every node.
  */
-export const BATCH_GATHER_MS = 200;
+export const BATCH_GATHER_SHARE = 0.06;
 
 /** Intents that no longer fit, after which a transaction counts as full. */
 export const PACK_MISSES = 4;
@@ -326,7 +326,7 @@
  * so that reports and submissions always find the processor free. Work that is waited for within seconds, services and
  * gangs, may take more.
  */
-export const WORK_SHARE = 0.015;
+export const WORK_SHARE = 0.01;
 export const URGENT_WORK_SHARE = 0.04;
 
 /** ms between two preemption rounds: the exits of the last must have been seen. */
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,7 +1,8 @@
 import { randomInt } from 'node:crypto';
 import {
   AVOID_MS,
-  BATCH_PUSH_GATHER_MS,
+  BATCH_GATHER_SHARE,
+  BATCH_PUSH_GATHER_SHARE,
   GOSSIP_SOON_MS,
   GOSSIP_VIEW_MS,
   GREET_PERIOD_MS,
@@ -70,6 +71,8 @@
   /** Set by whoever links the controllers: the mesh, or a test. */
   send: (node: string, message: Message) => boolean = () => false;
   private loadedAt: number | undefined;
+  /** ms between two reports of a worker. */
+  private readonly periodMs: number;
   private readonly tellings: Tellings;
   private readonly heard = new Heard();
   /** Peers that must tell all once more. */
@@ -84,6 +87,7 @@
     seed: number = randomInt(2 ** 31 - 1),
   ) {
     this.random = new Random(seed);
+    this.periodMs = settings.cluster.workers.report_s * 1000;
     this.tellings = new Tellings(randomInt(2 ** 47));
     const limits = txnLimits(settings.cluster.state);
     const peerNodes = settings.peers.map((peer) => peer.node);
@@ -102,7 +106,15 @@
       corrupt: (key, error) => log.error({ key, error: String(error) }, 'record can not be read'),
     });
     this.replica.onChange((key, now) => this.takeFlavor(key, now.value));
-    this.committer = new Committer(this.client, this.replica, limits, LIVE, clock, this.random);
+    this.committer = new Committer(
+      this.client,
+      this.replica,
+      limits,
+      LIVE,
+      clock,
+      this.random,
+      this.periodMs * BATCH_GATHER_SHARE,
+    );
     this.peers = new Peers(peerNodes, clock, () => this.replica.freshAt);
     this.committer.announce = (changes) => this.tell(changes);
     this.claims = new Claims(
@@ -348,7 +360,7 @@
       const unlaunched = task === undefined || task.attempt !== slot.attempt;
       if (worker === undefined) continue;
       if (withdrawn || slot.stop !== null) this.owner.push(slot.host);
-      else if (unlaunched) this.owner.push(slot.host, isBatch ? BATCH_PUSH_GATHER_MS : undefined);
+      else if (unlaunched) this.owner.push(slot.host, isBatch ? this.periodMs * BATCH_PUSH_GATHER_SHARE : undefined);
     }
     if (view.placed === 0 && (withdrawn || view.complete)) this.finish(ref);
   }
--- a/src/state/committer.ts
+++ b/src/state/committer.ts
@@ -1,5 +1,4 @@
 import {
-  BATCH_GATHER_MS,
   BATCH_TXN_LEAST,
   BATCH_TXN_SHARE,
   BUSY_PAUSE_MS,
@@ -161,6 +160,8 @@
     private readonly prefix: string,
     private readonly clock: Clock,
     private readonly random: Random,
+    /** ms that batch work waits for more of its kind. */
+    private readonly gatherMs = 0,
   ) {}
 
   /** Intents that go before whatever has a higher number. */
@@ -195,8 +196,8 @@
   private gather(priority: Priority): void {
     const now = this.clock.now();
     if (now < (this.pausedUntil.get(priority) ?? 0)) return;
-    this.pausedUntil.set(priority, now + BATCH_GATHER_MS);
-    void this.clock.sleep(BATCH_GATHER_MS + 1).then(() => this.wake());
+    this.pausedUntil.set(priority, now + this.gatherMs);
+    void this.clock.sleep(this.gatherMs + 1).then(() => this.wake());
   }
 
   private wake(): void {
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -137,7 +137,15 @@
     };
     const client = { txn } as unknown as StateClient;
     const limits = { ops: 12, batchOps: 12, conditions: 48, bytes: 60_000 };
-    const committer = new Committer(client, new Replica(client, 'live/', clock), limits, 'live/', clock, new Random(1));
+    const committer = new Committer(
+      client,
+      new Replica(client, 'live/', clock),
+      limits,
+      'live/',
+      clock,
+      new Random(1),
+      200,
+    );
     const put = (key: string, priority: Priority) =>
       void committer.commit(key, priority, (draft) => {
         draft.set(key, {});
