--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -195,7 +195,7 @@
           return freeShard(draft, this.teams, place.ref, place.shard, host, { kind: 'gone' }, 'lost');
         },
         undefined,
-        this.book.chunkKeyOf(place.ref, place.shard),
+        this.book.companyOf(place.ref, place.shard),
       );
     }
   }
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -88,6 +88,10 @@
     this.stragglers = new Stragglers(claims, book, committer, clock, log);
   }
 
+  private teamOf(ref: string): Team | undefined {
+    return this.teams.get(this.book.jobs.get(ref)?.record.spec.Owner ?? '');
+  }
+
   roleOf(host: string): string {
     return partRole(this.claims.partOf(host));
   }
@@ -245,7 +249,7 @@
           return freeShard(draft, this.teams, place.ref, place.shard, worker.host, proof, ending);
         },
         undefined,
-        this.book.chunkKeyOf(place.ref, place.shard),
+        this.book.companyOf(place.ref, place.shard, this.teamOf(place.ref)),
       )
       .finally(() => this.recording.delete(key));
   }
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -330,7 +330,7 @@
           priority,
           (draft) => this.decide(draft, group, role, team, whole),
           5000,
-          this.book.chunkKeyOf(view.ref, group[0]!.waiting.shard),
+          this.book.companyOf(view.ref, group[0]!.waiting.shard, team),
         )
         .then((outcome) => {
           const flying = this.flying.get(view.ref);
--- a/src/controller/stopper.ts
+++ b/src/controller/stopper.ts
@@ -53,7 +53,7 @@
         return marked;
       },
       undefined,
-      this.book.chunkKeyOf(ref, place.shard),
+      this.book.companyOf(ref, place.shard),
     );
   }
 }
--- a/src/ledger/book.ts
+++ b/src/ledger/book.ts
@@ -1,3 +1,5 @@
+import type { Team } from '../config/settings.js';
+import type { Company } from '../state/committer.js';
 import type { Replica, Stored } from '../state/replica.js';
 import {
   chunkKey,
@@ -13,7 +15,7 @@
   type Slot,
   type TeamRecord,
 } from './records.js';
-import { round, takeRoom, type Room } from './rules.js';
+import { isLimited, round, takeRoom, type Room } from './rules.js';
 
 export interface Place {
   ref: string;
@@ -117,10 +119,12 @@
     return this.teams;
   }
 
-  /** The record that holds a shard's place. */
-  chunkKeyOf(ref: string, shard: number): string | undefined {
+  /** The record that holds a shard's place, and that of its team, should its start or exit change one. */
+  companyOf(ref: string, shard: number, team?: Team): Company | undefined {
     const view = this.jobs.get(ref);
-    return view === undefined ? undefined : chunkKey(ref, Math.floor(shard / view.record.chunk));
+    if (view === undefined) return undefined;
+    const counts = team !== undefined && isLimited(team, view.record.spec);
+    return { key: chunkKey(ref, Math.floor(shard / view.record.chunk)), shared: counts ? team.name : undefined };
   }
 
   countOn(host: string): number {
--- a/src/state/committer.ts
+++ b/src/state/committer.ts
@@ -131,14 +131,21 @@
   /** Given up; it may or may not have happened. */
   | { kind: 'expired' };
 
+/** Whom an intent goes along with. */
+export interface Company {
+  /** A record that it will change: it goes with others that change it too. */
+  key: string;
+  /** A record that intents of all nodes change: a transaction changes one such record only. */
+  shared: string | undefined;
+}
+
 interface Intent {
   name: string;
   priority: Priority;
   decide: Decide;
   deadline: number;
   resolve: (outcome: Outcome) => void;
-  /** A record that it will change, if that is known before: it goes along with others that do. */
-  key: string | undefined;
+  company: Company | undefined;
 }
 
 const isUsers = (priority: Priority): boolean => priority === Priority.withdraw || priority === Priority.accept;
@@ -184,11 +191,11 @@
   readonly read = (key: string): Stored =>
     key.startsWith(this.prefix) ? this.replica.get(key) : (this.finals.get(key) ?? { value: undefined, stamp: 0 });
 
-  commit(name: string, priority: Priority, decide: Decide, timeoutMs = 60_000, key?: string): Promise<Outcome> {
+  commit(name: string, priority: Priority, decide: Decide, timeoutMs = 60_000, company?: Company): Promise<Outcome> {
     const queue = this.queues.get(priority)!;
     if (queue.length >= MAX_INTENTS) return Promise.resolve({ kind: 'expired' });
     return new Promise((resolve) => {
-      queue.push({ name, priority, decide, deadline: this.clock.now() + timeoutMs, resolve, key });
+      queue.push({ name, priority, decide, deadline: this.clock.now() + timeoutMs, resolve, company });
       if (!isBatch(priority)) this.wake();
       else if (queue.length === 1) this.gather(priority);
     });
@@ -232,6 +239,7 @@
     const draft = new Draft(this.read);
     const later: Intent[] = [];
     const touched = new Set<string>();
+    let shared: string | undefined;
     let tried = 0;
     let full = 0;
     for (const intent of queue) {
@@ -241,7 +249,13 @@
       }
       // A long queue is not tried whole for each transaction: that would cost its length squared. But where changes are
       // scarce, whatever changes a record that is written anyway goes along for nothing.
-      const along = intent.key !== undefined && draft.writes.has(intent.key);
+      const along = intent.company !== undefined && draft.writes.has(intent.company.key);
+      // Each record that all nodes change may make the whole transaction fail, and a refused one counts as much as another.
+      const other = intent.company?.shared;
+      if (shared !== undefined && other !== undefined && other !== shared) {
+        later.push(intent);
+        continue;
+      }
       if ((full >= PACK_MISSES && !along) || tried >= PACK_TRIES) {
         later.push(intent);
         continue;
@@ -257,6 +271,7 @@
       if (!blocked && trial.fits(this.limits, batch.length === 0 ? this.limits.ops : this.limits.batchOps)) {
         draft.merge(trial);
         batch.push(intent);
+        shared ??= other;
       } else if (!blocked && batch.length === 0) {
         intent.resolve({ kind: 'void' });
       } else {
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -169,8 +169,10 @@
   it('costs changes by the jobs that it concerns, not by its length', async () => {
     const clock = new FakeClock();
     let writes = 0;
-    const txn = (_: unknown, sent: unknown[]): Promise<TxnResult> => {
-      writes += sent.length;
+    const sent: string[][] = [];
+    const txn = (_: unknown, all: { key: string }[]): Promise<TxnResult> => {
+      writes += all.length;
+      sent.push(all.map(({ key }) => key));
       return clock.sleep(200).then(() => ({ kind: 'done', epoch: writes }));
     };
     const client = { txn } as unknown as StateClient;
@@ -179,9 +181,13 @@
     for (let n = 0; n < 600; n++) {
       const key = `live/ledger/${n % 30}`;
       const decide = (draft: Draft) => (draft.set(key, { n }), draft.set(`live/team/${n % 3}`, { n }), true);
-      void committer.commit('free', Priority.record, decide, 60_000, key);
+      void committer.commit('free', Priority.record, decide, 60_000, { key, shared: `team/${n % 3}` });
     }
     await clock.advance(20_000);
+    assert.ok(
+      sent.every((keys) => keys.filter((key) => key.startsWith('live/team/')).length === 1),
+      'each transaction changes one record that all nodes change',
+    );
     assert.ok(writes < 150, `${writes} changes for 600 exits of 30 jobs`);
   });
 });
