--- a/src/constants.ts
+++ b/src/constants.ts
@@ -326,9 +326,15 @@
  * so that reports and submissions always find the processor free. Work that is waited for within seconds, services and
  * gangs, may take more.
  */
-export const WORK_SHARE = 0.01;
+export const WORK_SHARE = 0.02;
 export const URGENT_WORK_SHARE = 0.04;
 
+/**
+ * ms between two plans at most: the first plans of a process take many times as long as later ones, and a whole cluster waits
+ * for them when all nodes have come back at once.
+ */
+export const MAX_PLAN_REST_MS = 800;
+
 /** ms between two preemption rounds: the exits of the last must have been seen. */
 export const PREEMPT_PERIOD_MS = 200;
 
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -1,5 +1,6 @@
 import {
   BEGIN_WITHIN_MS,
+  MAX_PLAN_REST_MS,
   MAX_PLAN_TASKS,
   MAX_UNPLACED,
   PLAN_GATHER_MS,
@@ -379,7 +380,8 @@
     this.plan();
     const now = this.clock.now();
     // Changes come by the dozen a second: a plan that takes long is made more rarely, and takes them together.
-    this.restUntil = now + (now - began) * (1 / WORK_SHARE - 1);
-    this.urgentRestUntil = now + (now - began) * (1 / URGENT_WORK_SHARE - 1);
+    const rest = (share: number) => Math.min(MAX_PLAN_REST_MS, (now - began) * (1 / share - 1));
+    this.restUntil = now + rest(WORK_SHARE);
+    this.urgentRestUntil = now + rest(URGENT_WORK_SHARE);
   }
 }
