--- a/src/constants.ts
+++ b/src/constants.ts
@@ -69,6 +69,9 @@
 /** Workers greeted at once after a takeover: hundreds of connections in one tick would keep reports waiting. */
 export const MAX_GREETINGS = 24;
 
+/** ms between two greetings of one worker: those who are not heard all get their turn. */
+export const GREET_AGAIN_MS = 5000;
+
 /** ms by which a peer's copy must be newer than ours to show that only we are cut off: more than two heartbeats. */
 export const PEER_LAG_MS = 2200;
 
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -483,7 +483,11 @@
       hears: this.peers.heard(),
       ...this.tellings.compose(to, this.ownNews(now), this.passedNews(now, to), now),
       wants: this.missed.has(to),
-      knocks: [...[...this.owner.knocks].map(([host, at]) => ({ host, ageMs: now - at })), ...this.peers.knocksHeard()],
+      knocks: [
+        ...[...this.owner.knocks].map(([host, at]) => ({ host, ageMs: now - at })),
+        // After a restart hundreds knock: what the peer hears itself is not passed on to it.
+        ...(this.unheardBy(to).size > 0 ? this.peers.knocksHeard() : []),
+      ],
       avoids: this.claims.avoided(),
       gone: this.fleet.lately(),
     };
@@ -504,10 +508,15 @@
     return this.own;
   }
 
+  /** The nodes that a peer does not hear itself. */
+  private unheardBy(peer: string): Set<string> {
+    const nodes = this.settings.peers.map(({ node }) => node);
+    return new Set(nodes.filter((node) => node !== peer && !this.peers.hears(peer, node)));
+  }
+
   /** Of others' machines only what a peer can't hear itself: all from everybody to everybody would grow with both. */
   private passedNews(now: number, to: string): MachineNews[] {
-    const nodes = this.settings.peers.map(({ node }) => node);
-    const unheard = new Set(nodes.filter((owner) => owner !== to && !this.peers.hears(to, owner)));
+    const unheard = this.unheardBy(to);
     if (unheard.size === 0) return [];
     const passed = this.fleet.passOn((owner) => unheard.has(owner));
     return [...passed].map(({ machine, knownAt }) => newsOf(machine, now, knownAt));
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -1,4 +1,5 @@
 import {
+  GREET_AGAIN_MS,
   KNOCK_MS,
   MAX_GREETINGS,
   MAX_ORDERS_BYTES,
@@ -68,7 +69,8 @@
   private readonly stragglers: Stragglers;
   /** Steady ms of the next push to each machine. */
   private readonly pushes = new Map<string, number>();
-  private readonly greeting = new Set<string>();
+  private greeting = 0;
+  private readonly greetedAt = new Map<string, number>();
   private readonly raisedAt = new Map<string, number>();
   /** Attempts whose end is handed to the ledger and not yet recorded, also on machines that this node has never heard. */
   private readonly recording = new Set<string>();
@@ -336,6 +338,7 @@
       this.knocks.delete(host);
       this.strandedSince.delete(host);
     }
+    for (const [host, at] of this.greetedAt) if (now - at > GREET_AGAIN_MS) this.greetedAt.delete(host);
     for (const host of [...this.book.hostsInUse()]) {
       const role = this.roleOf(host);
       const held = this.claims.holding(role);
@@ -360,10 +363,13 @@
     const held = this.claims.holding(this.roleOf(host));
     if (held === undefined || this.workers.has(host)) return;
     // The next look comes soon, and most workers report before their turn.
-    if (this.greeting.has(host) || this.greeting.size >= MAX_GREETINGS) return;
-    this.greeting.add(host);
+    // Those that don't answer must not keep the others from theirs.
+    const now = this.clock.now();
+    if (this.greeting >= MAX_GREETINGS || now - (this.greetedAt.get(host) ?? -Infinity) < GREET_AGAIN_MS) return;
+    this.greetedAt.set(host, now);
+    this.greeting++;
     const result = await sendCommands(this.http, endpoint, held.fence, tenure, []);
-    this.greeting.delete(host);
+    this.greeting--;
     if (!('report' in result) || result.report?.host !== host || this.claims.holding(this.roleOf(host)) !== held)
       return;
     const worker = this.workers.get(host) ?? new Worker(host);
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -211,14 +211,15 @@
 });
 
 describe('a node that takes over hundreds of machines', () => {
-  it('greets them a few at a time', async () => {
+  it('greets them a few at a time, each in its turn, also where many do not answer', async () => {
     await ready(2, 240);
     await cluster!.submit({ Ref: 'j-svc1', Shape: 'service', Shards: 400, MemGb: 1, Rank: 'prod' });
     await cluster!.advance(8000);
     const asked = () => cluster!.network.log.filter(({ from, path }) => from === 'n0' && path === '/commands').length;
     for (const host of cluster!.workers.keys()) cluster!.cut.add(host);
     cluster!.crash(1);
-    let before = asked();
+    const start = asked();
+    let before = start;
     let most = 0;
     for (let n = 0; n < 80; n++) {
       await cluster!.advance(100);
@@ -226,6 +227,8 @@
       before = asked();
     }
     assert.ok(most > 0 && most <= 30, `${most} in a tenth of a second`);
+    const greeted = cluster!.network.log.filter(({ from, path }) => from === 'n0' && path === '/commands').slice(start);
+    assert.ok(new Set(greeted.map(({ to }) => to)).size > 60);
   });
 });
 
