--- a/src/constants.ts
+++ b/src/constants.ts
@@ -4,7 +4,7 @@
  */
 
 /** ms for which one view of all machines serves everybody who looks at them; less than two plans are apart. */
-export const FLEET_VIEW_MS = 50;
+export const FLEET_VIEW_MS = 100;
 
 /** Name and version shown by `--version`. */
 export const VERSION = '0.1.0';
@@ -101,7 +101,7 @@
  * the watch is the end of a hold, which comes after seconds anyway. Below half a heartbeat, so that it needs no look of its
  * own.
  */
-export const WATCH_HEARD_PAUSE_MS = 250;
+export const WATCH_HEARD_PAUSE_MS = 350;
 
 /** ms that changes are collected before peers are told. */
 export const NEWS_GATHER_MS = 10;
@@ -329,8 +329,8 @@
  * so that reports and submissions always find the processor free. Work that is waited for within seconds, services and
  * gangs, may take more.
  */
-export const WORK_SHARE = 0.02;
-export const URGENT_WORK_SHARE = 0.04;
+export const WORK_SHARE = 0.01;
+export const URGENT_WORK_SHARE = 0.025;
 
 /**
  * ms between two plans at most: the first plans of a process take many times as long as later ones, and a whole cluster waits
