--- a/src/constants.ts
+++ b/src/constants.ts
@@ -161,7 +161,7 @@
 export const MAX_FLIGHTS = 2;
 
 /**
- * Share of a report's period that exits and starts of batch work are collected before they are packed: tasks run for tens of
+ * Share of a report's period that exits of batch work are collected before they are packed: tasks run for tens of
  * seconds, and each transaction costs requests, changes of shared records, and news to every node.
  */
 export const BATCH_GATHER_SHARE = 0.06;
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -16,7 +16,7 @@
 import type { Book, JobView } from '../ledger/book.js';
 import { startShard } from '../ledger/edits.js';
 import { shardName, type JobSpec, type TeamRecord } from '../ledger/records.js';
-import { quotaAllows, takeRoom, type Room } from '../ledger/rules.js';
+import { isWithin, quotaAllows, takeRoom, type Room } from '../ledger/rules.js';
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
 import { Priority } from '../net/token-bucket.js';
@@ -351,12 +351,21 @@
     }
   }
 
+  /**
+   * Has the machine still room for all that flies there? A start waits for its turn at the store, and in the meantime another
+   * node may have filled the machine: the worker would refuse the task, which costs two more changes and closes the machine.
+   */
+  private hasRoom(machine: MachineInfo): boolean {
+    const room = this.rooms([machine]).get(machine.host);
+    return room !== undefined && isWithin(room);
+  }
+
   private decide(draft: Draft, group: Choice[], role: string, team: Team, whole: boolean): boolean {
     if (!this.claims.require(draft, role)) return false;
     let started = 0;
     for (const { waiting, machine, attempt } of group) {
       // The machine may have begun a new session, or have gone silent, since the choice was made.
-      const stale = this.fleet.tenureOf(machine.host) !== machine.tenure;
+      const stale = this.fleet.tenureOf(machine.host) !== machine.tenure || !this.hasRoom(machine);
       const why = stale
         ? 'machine changed'
         : startShard(draft, team, waiting.view.ref, waiting.shard, machine, attempt);
--- a/src/ledger/rules.ts
+++ b/src/ledger/rules.ts
@@ -24,6 +24,9 @@
 export const fits = (task: JobSpec, room: Room): boolean =>
   task.Cpus <= room.cpus + EPS && task.Cards <= room.cards + EPS && task.MemGb <= room.memGb + EPS;
 
+/** Is no more given away than there was? */
+export const isWithin = (left: Room): boolean => left.cpus >= -EPS && left.cards >= -EPS && left.memGb >= -EPS;
+
 export const roomOf = (spec: JobSpec): Room => ({ cpus: spec.Cpus, cards: spec.Cards, memGb: spec.MemGb });
 
 /** Takes the room of so many tasks away; a negative number gives it back. */
--- a/src/state/committer.ts
+++ b/src/state/committer.ts
@@ -196,12 +196,13 @@
     if (queue.length >= MAX_INTENTS) return Promise.resolve({ kind: 'expired' });
     return new Promise((resolve) => {
       queue.push({ name, priority, decide, deadline: this.clock.now() + timeoutMs, resolve, company });
-      if (!isBatch(priority)) this.wake();
+      // Starts take room that the other nodes can't see until they are recorded, so they do not wait.
+      if (priority !== Priority.record) this.wake();
       else if (queue.length === 1) this.gather(priority);
     });
   }
 
-  /** Batch work waits for more of its kind. */
+  /** Exits of batch work wait for more of their kind. */
   private gather(priority: Priority): void {
     const now = this.clock.now();
     if (now < (this.pausedUntil.get(priority) ?? 0)) return;
