--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -9,7 +9,7 @@
 import { Committer, type Draft } from '../src/state/committer.js';
 import { Replica } from '../src/state/replica.js';
 import { jsonLength } from '../src/state/sizes.js';
-import { Cluster } from '../src/testing/cluster.js';
+import { Cluster, jobOf } from '../src/testing/cluster.js';
 import { FakeClock } from '../src/testing/fake-clock.js';
 
 let cluster: Cluster | undefined;
@@ -243,3 +243,25 @@
     assert.ok(looks / 2 < 900 * 4, `${looks / 2} looks a second`);
   });
 });
+
+describe('a start that waits for its turn at the store', () => {
+  it('is given up when another node has filled the machine in the meantime', async () => {
+    await ready(2, 10);
+    let most = 0;
+    const look = () => {
+      const { book } = cluster!.node(1);
+      for (const host of cluster!.workers.keys()) most = Math.max(most, book.takenOn(host)?.cpus ?? 0);
+    };
+    const refuse = cluster!.network.fault({ from: 'n0', path: /txn/, kind: 'status', status: 429 });
+    const jobs = Array.from({ length: 12 }, (_, n) =>
+      cluster!.node(1).jobs.submit(jobOf({ Ref: `j-wait${n}`, Shards: 12, GuessS: 5 })),
+    );
+    for (let n = 0; n < 40; n++) {
+      await cluster!.advance(50);
+      if (n === 12) refuse();
+      look();
+    }
+    await Promise.all(jobs);
+    assert.ok(most <= 8, `${most} CPUs of 8`);
+  });
+});
