--- a/src/controller/placer.ts
+++ b/src/controller/placer.ts
@@ -2,7 +2,7 @@
 import type { Tuning } from '../config/settings.js';
 import type { Book, JobView } from '../ledger/book.js';
 import { RANKS, shardName, type JobSpec, type Slot } from '../ledger/records.js';
-import { fits, roomOf, takeRoom, zoneAllows, zonesOf, type Room } from '../ledger/rules.js';
+import { fits, roomOf, takeRoom, zoneAllows, type Room } from '../ledger/rules.js';
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
 import { match, type Host, type Seeker } from '../placement/matching.js';
@@ -81,8 +81,7 @@
       peak: roomOf(spec),
     }));
     const byHost = new Map(usable.machines.map((machine) => [machine.host, machine]));
-    // Only where a rule asks for them are a job's other tasks looked through.
-    const slots = zonesOf(spec.Spread || spec.OneZone ? [...view.known()].map(([, slot]) => slot) : []);
+    const slots = view.zones;
     for (const site of flying) slots.set(site, (slots.get(site) ?? 0) + 1);
     const hosts: Host[] = usable.machines.map((machine) => ({
       id: machine.host,
--- a/src/controller/preempter.ts
+++ b/src/controller/preempter.ts
@@ -2,7 +2,7 @@
 import type { Settings, Team } from '../config/settings.js';
 import type { Book } from '../ledger/book.js';
 import type { JobSpec, TeamRecord } from '../ledger/records.js';
-import { takeRoom, zoneAllows, zonesOf } from '../ledger/rules.js';
+import { takeRoom, zoneAllows } from '../ledger/rules.js';
 import type { Clock } from '../net/clock.js';
 import { guaranteeOf, isBorrowed, isOwed } from '../placement/queue.js';
 import {
@@ -82,7 +82,7 @@
     const mayStop = (victim: JobSpec) => rankOf(victim) > rankOf(spec) || (owed && this.mayReclaim(spec, victim, uses));
     const signature = `${signatureOf(spec)} ${owed ? spec.Owner : ''}`;
     if (hopeless.has(signature)) return false;
-    const zones = zonesOf(spec.Spread || spec.OneZone ? [...view.known()].map(([, slot]) => slot) : []);
+    const { zones } = view;
     const options = new Map<MachineField, Option<MachineField>>();
     const look = (field: MachineField) => {
       const option = optionOn(spec, field, mayStop, COLD_COST);
--- a/src/controller/renter.ts
+++ b/src/controller/renter.ts
@@ -3,7 +3,7 @@
 import type { Settings } from '../config/settings.js';
 import type { Book } from '../ledger/book.js';
 import { hireKey, type HireRecord } from '../ledger/records.js';
-import { zoneAllows, zonesOf } from '../ledger/rules.js';
+import { zoneAllows } from '../ledger/rules.js';
 import type { Clock } from '../net/clock.js';
 import { Priority } from '../net/token-bucket.js';
 import { belowReserve, bootLimitMs, decideRentals, type Need, type Offer, type Wanted } from '../placement/renting.js';
@@ -55,7 +55,7 @@
       const view = this.book.jobs.get(ref);
       if (view === undefined || waiting.some((each) => each.slot.fails > 2)) continue;
       const { spec } = view.record;
-      const zones = zonesOf([...view.known()].map(([, slot]) => slot));
+      const { zones } = view;
       const all = [...new Set([...this.fleet.catalog.values()].flatMap((flavor) => flavor.sites))];
       const sites = all.filter((site) => zoneAllows(spec, zones, site));
       needs.push({ spec, tasks: waiting.length, sites: sites.length === all.length ? [] : sites });
--- a/src/ledger/book.ts
+++ b/src/ledger/book.ts
@@ -15,7 +15,7 @@
   type Slot,
   type TeamRecord,
 } from './records.js';
-import { isLimited, round, takeRoom, type Room } from './rules.js';
+import { isLimited, round, takeRoom, zonesOf, type Room } from './rules.js';
 
 export interface Place {
   ref: string;
@@ -67,6 +67,12 @@
     }
   }
 
+  /** Tasks of the job in each zone, where a rule asks for them; else nobody looks through them. */
+  get zones(): Map<string, number> {
+    const { Spread, OneZone } = this.record.spec;
+    return zonesOf(Spread || OneZone ? [...this.known()].map(([, slot]) => slot) : []);
+  }
+
   get complete(): boolean {
     return this.done === this.record.spec.Shards;
   }
