--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -85,7 +85,7 @@
   constructor(private readonly options: ClusterOptions = {}) {
     this.cloud = new FakeCloud(options.flavors ?? [C8]);
     this.cloud.onReturn = (host) => this.kill(host);
-    this.network.serve('store:1', (method, path, body) => this.store.handle(method, path, body));
+    this.network.serve('store:1', (method, path, body, _signal, from) => this.store.handle(method, path, body, from));
     this.network.serve('cloud:1', (method, path, body) => this.cloud.handle(method, path, body));
     for (let index = 0; index < (options.nodes ?? 1); index++) this.start(index);
     void this.tick();
--- a/src/testing/fake-network.ts
+++ b/src/testing/fake-network.ts
@@ -1,7 +1,13 @@
 import { NoAnswer, type CallOptions, type HttpClient, type Reply } from '../net/http-client.js';
 import type { FakeClock } from './fake-clock.js';
 
-export type Handler = (method: string, path: string, body: unknown, signal?: AbortSignal) => Promise<Reply> | Reply;
+export type Handler = (
+  method: string,
+  path: string,
+  body: unknown,
+  signal?: AbortSignal,
+  from?: string,
+) => Promise<Reply> | Reply;
 
 /** What happens to messages from one host to an address; the first fault that matches counts. */
 export interface Fault {
@@ -75,7 +81,7 @@
     if (fault?.kind === 'status') return { status: fault.status!, body: fault.body ?? {} };
     const deliver = () => {
       this.log.push({ from, to, method, path, body: copy });
-      return handler(method, path, copy, options.signal);
+      return handler(method, path, copy, options.signal, from);
     };
     if (fault !== undefined) {
       if (fault.kind === 'mute') void deliver();
--- a/src/testing/fake-store.ts
+++ b/src/testing/fake-store.ts
@@ -1,6 +1,9 @@
 import type { Reply } from '../net/http-client.js';
 import type { FakeClock } from './fake-clock.js';
 
+/** ms between two looks of an open watch at whether the outage is over. */
+const OUTAGE_STEP_MS = 50;
+
 interface Kept {
   value: unknown;
   stamp: number;
@@ -22,6 +25,8 @@
   epoch = 0;
   /** While set, every request gets 503. */
   out = false;
+  /** Nodes whose every request gets 503 while the others are served; their open watches wait, as in an outage. */
+  readonly refused = new Set<string>();
 
   constructor(private readonly clock: FakeClock) {}
 
@@ -31,12 +36,16 @@
     for (const hold of this.holds.values()) hold.until = this.clock.now() + hold.ttl;
   }
 
-  async handle(method: string, path: string, body: unknown): Promise<Reply> {
-    if (this.out) return { status: 503, body: { error: 'unavailable' } };
+  private isOutFor(from: string | undefined): boolean {
+    return this.out || (from !== undefined && this.refused.has(from));
+  }
+
+  async handle(method: string, path: string, body: unknown, from?: string): Promise<Reply> {
+    if (this.isOutFor(from)) return { status: 503, body: { error: 'unavailable' } };
     this.expire();
     const url = new URL(path, 'http://store');
     const parts = url.pathname.split('/').slice(1);
-    if (parts[0] === 'watch') return this.watch(url.searchParams);
+    if (parts[0] === 'watch') return this.watch(url.searchParams, from);
     if (parts[0] === 'txn') return this.txn(body as TxnBody);
     if (parts[0] === 'holds') return this.hold(method, parts, body as { TtlMs: number });
     if (url.pathname === '/store') return this.list(url.searchParams);
@@ -106,15 +115,16 @@
     return { status: 200, body: { Rows: page, HasNext: keys.length > limit, Epoch: this.epoch } };
   }
 
-  private async watch(query: URLSearchParams): Promise<Reply> {
+  private async watch(query: URLSearchParams, node: string | undefined): Promise<Reply> {
     const prefix = query.get('Starts') ?? '';
     const from = Number(query.get('From'));
     const end = this.clock.now() + Number(query.get('WaitMs') ?? 0);
     const fresh = () => this.news.filter((each) => each.stamp > from && each.key.startsWith(prefix));
-    while ((fresh().length === 0 || this.out) && this.clock.now() < end) {
+    while (this.isOutFor(node) || (fresh().length === 0 && this.clock.now() < end)) {
       const woken = new AbortController();
       this.waiters.push(() => woken.abort());
-      await this.clock.sleep(end - this.clock.now(), woken.signal);
+      // An open watch stays open through an outage, however short a time it asked for.
+      await this.clock.sleep(this.isOutFor(node) ? OUTAGE_STEP_MS : end - this.clock.now(), woken.signal);
     }
     const News = fresh().map((each) =>
       each.value === undefined
