Hold over the store's absence only as long as our copy holds what any peer's holds

Cause: an owner that the store refused alone went on answering without end once all nodes said that they had no store, though another had confirmed a cancellation of which no news had come.

Now copies are brought up from each other (Coverage, Replica.since), words are dated by an echo of the own clock, a process that has not read the store speaks for nobody, and every answer ends H after the last moment as of which our copy held all that anybody can have confirmed. Kills of withdrawn jobs need no fresh store (Owner.pushNow), and go out from any node where the owner has none (Recaller).

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -84,6 +84,12 @@
 /** ms that urgent gossip is collected before it is sent. */
 export const GOSSIP_SOON_MS = 100;
 
+/** Bytes of records in one message to a peer whose copy is brought up: a turn of some milliseconds. */
+export const DELTA_BYTES = 200_000;
+
+/** Dropped keys that a copy remembers, for peers whose copies are older: some seconds' worth of ended jobs in a busy time. */
+export const TOMBSTONES_KEPT = 1000;
+
 /** ms without gossip after which a peer's machine summaries are not used for placement. */
 export const GOSSIP_STALE_MS = 4000;
 
--- a/src/controller/claims.ts
+++ b/src/controller/claims.ts
@@ -26,12 +26,11 @@
 export interface PeerWord {
   /** The peer is up and reaches the store, as of just now. */
   hasStore(node: string): boolean;
-  /** All peers say right now that they don't get the store either. */
-  allWithoutStore(): boolean;
+  /** A peer has the store, this node has not. */
   anyWithStore(): boolean;
 }
 
-/** ms for which an owner may go on answering after it was last in touch with the store. */
+/** ms for which an owner may go on answering after the moment as of which its copy holds all that anybody has confirmed. */
 export const holdOverMs = (workers: Settings['cluster']['workers']): number =>
   Math.max(0, (workers.cancel_s - workers.lease_s) * 1000 * (1 - CLOCK_DRIFT) - HOLDOVER_MARGIN_MS);
 
@@ -61,6 +60,7 @@
     private readonly book: Book,
     private readonly committer: Committer,
     private readonly peers: PeerWord,
+    private readonly coverage: { asOf(): number },
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly log: Log,
@@ -105,12 +105,11 @@
   mayAnswer(role: string): Held | undefined {
     const held = this.holding(role);
     if (held === undefined) return undefined;
-    const out = this.clock.now() - this.replica.freshAt;
-    if (out < FRESH_MS) return held;
-    // Whoever has the store may have taken over, or told a user that a job is cancelled.
+    if (this.inTouch) return held;
+    // Whoever has the store will take over: workers that are turned away are with it the sooner.
     if (this.peers.anyWithStore()) return undefined;
-    if (out < this.holdOver) return held;
-    return this.peers.allWithoutStore() ? held : undefined;
+    // A cancellation that this copy does not hold was confirmed later than that: see "Time" in docs/design.md.
+    return this.clock.now() < this.coverage.asOf() + this.holdOver ? held : undefined;
   }
 
   ownedParts(): number[] {
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -24,6 +24,7 @@
 import { chunkKey, jobKey, LIVE, parseShard, shardName } from '../ledger/records.js';
 import { Mesh, splitAddress } from '../mesh/mesh.js';
 import type { Gossip, MachineNews, Message, News } from '../mesh/messages.js';
+import { Coverage } from '../mesh/coverage.js';
 import { Relays } from '../mesh/relays.js';
 import { Peers } from '../mesh/peers.js';
 import { Heard, ownAt, Tellings, type Own } from '../mesh/tellings.js';
@@ -45,6 +46,7 @@
 import { Owner } from './owner.js';
 import { isLarge } from './placer.js';
 import { Planner } from './planner.js';
+import { Recaller } from './recaller.js';
 
 const FLAVOR = `${LIVE}flavor/`;
 
@@ -58,9 +60,11 @@
   readonly planner: Planner;
   readonly leader: Leader;
   readonly jobs: Jobs;
+  private readonly recaller: Recaller;
   private readonly client: StateClient;
   private readonly committer: Committer;
   private readonly peers: Peers;
+  private readonly coverage: Coverage;
   private readonly mover: Mover;
   private readonly happiness: Happiness;
   private readonly random: Random;
@@ -88,7 +92,8 @@
   ) {
     this.random = new Random(seed);
     this.periodMs = settings.cluster.workers.report_s * 1000;
-    this.tellings = new Tellings(randomInt(2 ** 47));
+    const life = randomInt(2 ** 47);
+    this.tellings = new Tellings(life);
     const limits = txnLimits(settings.cluster.state);
     const peerNodes = settings.peers.map((peer) => peer.node);
     this.client = new StateClient(
@@ -116,6 +121,9 @@
       this.periodMs * BATCH_GATHER_SHARE,
     );
     this.peers = new Peers(peerNodes, clock, () => this.replica.freshAt);
+    this.coverage = new Coverage(settings.node, peerNodes, life, this.replica, clock, (node, message) =>
+      this.send(node, message),
+    );
     this.committer.announce = (changes) => this.tell(changes);
     this.claims = new Claims(
       settings,
@@ -124,6 +132,7 @@
       this.book,
       this.committer,
       this.peers,
+      this.coverage,
       clock,
       this.random,
       log,
@@ -189,6 +198,7 @@
       this.random,
       log,
     );
+    this.recaller = new Recaller(this.claims, this.book, this.fleet, this.peers, http, clock, log);
     this.jobs = new Jobs(
       settings,
       this.client,
@@ -241,6 +251,7 @@
       this.mover.run(signal),
       this.every(FINISH_PERIOD_MS, signal, () => this.finishAll()),
       this.every(SWEEP_MS, signal, () => this.balance()),
+      this.every(SWEEP_MS, signal, () => this.recaller.sweep()),
       this.every(GREET_PERIOD_MS, signal, () => this.greet()),
     ]);
   }
@@ -330,6 +341,8 @@
     if ('gossip' in message) this.hear(message.gossip);
     else if ('relayAnswer' in message) this.relays.take(message.relayAnswer);
     else if ('news' in message) this.learn(message.news);
+    else if ('ask' in message) this.coverage.answer(message.ask.node, message.ask.from);
+    else if ('delta' in message) this.coverage.take(message.delta);
     else {
       const { node, id, report: text } = message.relay;
       const report = decodeReport(JSON.parse(text));
@@ -481,6 +494,7 @@
       freshAgeMs: Math.min(now - this.replica.freshAt, 1e12),
       withoutStore: this.withoutStore,
       hears: this.peers.heard(),
+      ...this.coverage.tell(to),
       ...this.tellings.compose(to, this.ownNews(now), this.passedNews(now, to), now),
       wants: this.missed.has(to),
       knocks: [
@@ -524,6 +538,7 @@
 
   private hear(gossip: Gossip): void {
     this.peers.hear(gossip);
+    this.coverage.hear(gossip);
     for (const host of gossip.gone) this.fleet.remove(host);
     const now = this.clock.now();
     if (gossip.wants) this.tellings.renew(gossip.node);
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -1,9 +1,9 @@
 import {
+  FRESH_MS,
   GREET_AGAIN_MS,
   KNOCK_MS,
   MAX_GREETINGS,
   MAX_ORDERS_BYTES,
-  PEER_WORD_MS,
   PUSH_GATHER_MS,
   RAISE_PAUSE_MS,
   SEND_HOME_MS,
@@ -273,15 +273,18 @@
     const role = this.roleOf(host);
     const held = this.claims.holding(role);
     const worker = this.workers.get(host);
-    if (held === undefined || worker === undefined || !this.claims.inTouch || worker.tenure === 0) return;
+    if (held === undefined || worker === undefined || worker.tenure === 0) return;
     // A worker that reports by way of another node is behind a cut: commands would only hang, and may arrive late.
     if (this.isSilent(worker, this.clock.now()) || worker.door !== undefined) return;
     if (worker.pushing) {
       worker.pushAgain = true;
       return;
     }
-    const plan = reconcile(worker, this.desiredOn(host), this.rights(held, false));
+    const desired = this.desiredOn(host);
+    const plan = reconcile(worker, desired, this.rights(held, false));
     this.carryOut(worker, role, plan);
+    // A withdrawal is final: what is left of the job is stopped by whatever copy knows of it, fresh or not.
+    if (!this.claims.inTouch) plan.orders = plan.orders.filter(({ shard }) => desired.get(shard)?.withdrawn === true);
     // A launch whose arrival is open is repeated by the next report's answer, not by another command.
     const orders = plan.orders.filter(
       (order) =>
@@ -318,9 +321,9 @@
 
   /** Steady ms from which on nobody else can have answered a worker that has not shown this node's fence yet. */
   private othersAnsweredUntil(held: Held): number {
-    // Its copy can have been complete until its hold ended, even if only its renewals were lost; and while it holds over
-    // on its peers' word, this node was one of the peers.
-    return held.since + Math.max(PEER_WORD_MS, holdOverMs(this.settings.cluster.workers));
+    // Its copy can have been complete until its hold ended, even if only its renewals were lost; and what it was told by
+    // this node since then would have shown it the new claim.
+    return held.since + Math.max(FRESH_MS, holdOverMs(this.settings.cluster.workers));
   }
 
   leaseOver(host: string, held: Held): number {
--- /dev/null
+++ b/src/mesh/coverage.ts
@@ -0,0 +1,93 @@
+import { CLOCK_DRIFT, DELTA_BYTES, FRESH_MS } from '../constants.js';
+import type { Clock } from '../net/clock.js';
+import type { Replica } from '../state/replica.js';
+import type { Delta, Gossip, Message } from './messages.js';
+
+/** A state of a peer's copy: its process, and how many changes that had taken in. */
+interface Version {
+  life: number;
+  version: number;
+}
+
+/**
+ * As of when this node's copy is known to hold every record that any node's copy holds. The store shows it while it answers.
+ * Without it the copies are brought up from each other: whatever a peer has confirmed to a user, its own copy held first. So
+ * once ours holds all that the peer's holds, only what it confirms later can be unknown here.
+ *
+ * Words are dated by an echo of this node's own clock, since a cut may hold a message back for minutes. A process that has
+ * not read the store speaks for nobody: its former life may have confirmed what no other copy holds.
+ */
+export class Coverage {
+  /** The clocks of the peers, as they last told them, to be echoed. */
+  private readonly clocks = new Map<string, { life: number; clock: number }>();
+  private readonly merged = new Map<string, Version>();
+  /** Steady ms as of which this copy held all that the peer's held. */
+  private readonly coveredAt: Map<string, number>;
+  /** Steady ms as of which some peer had a complete copy from the store, all of which ours holds. */
+  private copiedAt = -Infinity;
+
+  constructor(
+    private readonly node: string,
+    peers: readonly string[],
+    /** Tells this process from its former lives. */
+    private readonly life: number,
+    private readonly replica: Replica,
+    private readonly clock: Clock,
+    private readonly send: (node: string, message: Message) => void,
+  ) {
+    this.coveredAt = new Map(peers.map((peer) => [peer, -Infinity]));
+  }
+
+  /** What gossip to a peer says of this node's copy. */
+  tell(peer: string): Pick<Gossip, 'clock' | 'echo' | 'loaded' | 'version'> {
+    return {
+      clock: this.clock.now(),
+      echo: this.clocks.get(peer) ?? null,
+      loaded: this.replica.loaded,
+      version: this.replica.version,
+    };
+  }
+
+  hear({ node, life, version, loaded, clock, echo, freshAgeMs }: Gossip): void {
+    if (!this.coveredAt.has(node)) return;
+    this.clocks.set(node, { life, clock });
+    if (!loaded) return;
+    const merged = this.merged.get(node);
+    if (merged?.life === life && merged.version === version) {
+      // Said by the peer no earlier than this.
+      if (echo?.life !== this.life) return;
+      this.coveredAt.set(node, Math.max(this.coveredAt.get(node)!, echo.clock));
+      this.copiedAt = Math.max(this.copiedAt, echo.clock - freshAgeMs * (1 + CLOCK_DRIFT));
+    } else if (this.replica.loaded && this.clock.now() - this.replica.freshAt >= FRESH_MS) {
+      this.ask(node);
+    }
+  }
+
+  private ask(node: string): void {
+    this.send(node, { ask: { node: this.node, from: this.replica.epoch } });
+  }
+
+  /** Tells a peer what has changed since its copy was complete. */
+  answer(peer: string, from: number): void {
+    if (!this.replica.loaded) return;
+    const { changes, upTo, whole } = this.replica.since(from, DELTA_BYTES);
+    const { version } = this.replica;
+    this.send(peer, { delta: { node: this.node, life: this.life, version, from, upTo, whole, changes } });
+  }
+
+  take({ node, life, version, from, upTo, whole, changes }: Delta): void {
+    const told = changes.map(({ key, value, stamp }) => ({
+      key,
+      value: value === null ? undefined : (JSON.parse(value) as unknown),
+      stamp,
+    }));
+    if (!this.coveredAt.has(node) || !this.replica.takeSince(from, upTo, told)) return;
+    if (whole) this.merged.set(node, { life, version });
+    else this.ask(node);
+  }
+
+  /** Steady ms: no node can have confirmed anything before it that this node's copy does not hold. */
+  asOf(): number {
+    return Math.max(this.replica.freshAt, this.copiedAt, Math.min(...this.coveredAt.values()));
+  }
+}
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -1,4 +1,5 @@
 import avro from 'avsc';
+import type { SentChange } from '../state/replica.js';
 
 /** What each controller tells the others every second. */
 export interface Gossip {
@@ -9,6 +10,13 @@
   freshAgeMs: number;
   /** The store refuses, or doesn't answer, this node. */
   withoutStore: boolean;
+  /** The sender's steady clock, ms, and the receiver's as it last told it, with the life that told it. */
+  clock: number;
+  echo: { life: number; clock: number } | null;
+  /** The sender's process has read the store. */
+  loaded: boolean;
+  /** How many changes the sender's copy has taken in. */
+  version: number;
   /** Nodes that the sender hears just now: what they own need not be passed on to it. */
   hears: string[];
   /** Tells the sender's process from its former lives; messages to one peer are counted. */
@@ -66,6 +74,23 @@
     { name: 'upMs', type: 'double' },
     { name: 'freshAgeMs', type: 'double' },
     { name: 'withoutStore', type: 'boolean' },
+    { name: 'clock', type: 'double' },
+    {
+      name: 'echo',
+      type: [
+        'null',
+        {
+          type: 'record',
+          name: 'Echo',
+          fields: [
+            { name: 'life', type: 'long' },
+            { name: 'clock', type: 'double' },
+          ],
+        },
+      ],
+    },
+    { name: 'loaded', type: 'boolean' },
+    { name: 'version', type: 'long' },
     { name: 'hears', type: { type: 'array', items: 'string' } },
     { name: 'life', type: 'long' },
     { name: 'seq', type: 'long' },
@@ -152,20 +177,54 @@
 
 /** Records as a transaction of the sender's has just left them in the store: known sooner than by a watch. */
 export interface News {
-  changes: {
-    key: string;
-    /** JSON; null: the key was dropped. */
-    value: string | null;
-    stamp: number;
-  }[];
+  changes: SentChange[];
 }
 
-export type Message = { gossip: Gossip } | { relay: Relay } | { relayAnswer: RelayAnswer } | { news: News };
+/** Asks for all that has changed since the sender's copy was complete, when the store can't be asked. */
+export interface Ask {
+  node: string;
+  /** The revision up to which the sender's copy is complete. */
+  from: number;
+}
+
+/** What the sender's copy holds since the revision that was asked for. */
+export interface Delta {
+  node: string;
+  life: number;
+  version: number;
+  from: number;
+  /** With the changes, a copy that was complete up to `from` is complete up to here. */
+  upTo: number;
+  /** False: there is more. */
+  whole: boolean;
+  changes: SentChange[];
+}
+
+export type Message =
+  | { gossip: Gossip }
+  | { relay: Relay }
+  | { relayAnswer: RelayAnswer }
+  | { news: News }
+  | { ask: Ask }
+  | { delta: Delta };
+
+const changesSchema = {
+  type: 'array',
+  items: {
+    type: 'record',
+    name: 'RecordChange',
+    fields: [
+      { name: 'key', type: 'string' },
+      { name: 'value', type: ['null', 'string'] },
+      { name: 'stamp', type: 'long' },
+    ],
+  },
+} satisfies avro.Schema;
 
 const envelope = avro.Type.forSchema({
   type: 'record',
   name: 'Envelope',
-  namespace: 'dewlatch.mesh.v2',
+  namespace: 'dewlatch.mesh.v3',
   fields: [
     { name: 'gossip', type: ['null', gossipSchema], default: null },
     {
@@ -208,22 +267,41 @@
         {
           type: 'record',
           name: 'News',
+          fields: [{ name: 'changes', type: changesSchema }],
+        },
+      ],
+      default: null,
+    },
+    {
+      name: 'ask',
+      type: [
+        'null',
+        {
+          type: 'record',
+          name: 'Ask',
+          fields: [
+            { name: 'node', type: 'string' },
+            { name: 'from', type: 'long' },
+          ],
+        },
+      ],
+      default: null,
+    },
+    {
+      name: 'delta',
+      type: [
+        'null',
+        {
+          type: 'record',
+          name: 'Delta',
           fields: [
-            {
-              name: 'changes',
-              type: {
-                type: 'array',
-                items: {
-                  type: 'record',
-                  name: 'RecordChange',
-                  fields: [
-                    { name: 'key', type: 'string' },
-                    { name: 'value', type: ['null', 'string'] },
-                    { name: 'stamp', type: 'long' },
-                  ],
-                },
-              },
-            },
+            { name: 'node', type: 'string' },
+            { name: 'life', type: 'long' },
+            { name: 'version', type: 'long' },
+            { name: 'from', type: 'long' },
+            { name: 'upTo', type: 'long' },
+            { name: 'whole', type: 'boolean' },
+            { name: 'changes', type: { type: 'array', items: 'RecordChange' } },
           ],
         },
       ],
@@ -248,10 +326,14 @@
     relay: Relay | null;
     relayAnswer: RelayAnswer | null;
     news: News | null;
+    ask: Ask | null;
+    delta: Delta | null;
   };
   if (raw.gossip !== null) return { gossip: raw.gossip };
   if (raw.relay !== null) return { relay: raw.relay };
   if (raw.relayAnswer !== null) return { relayAnswer: raw.relayAnswer };
   if (raw.news !== null) return { news: raw.news };
+  if (raw.ask !== null) return { ask: raw.ask };
+  if (raw.delta !== null) return { delta: raw.delta };
   throw new Error('empty message');
 }
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -72,10 +72,10 @@
     }
   }
 
-  /** A peer was in touch with the store when this node no longer was. In an outage all lose touch within a heartbeat. */
+  /** A peer is in touch with the store while this node is not. In an outage all lose touch within a heartbeat. */
   anyWithStore(): boolean {
     const mine = this.ownFreshAt();
-    return this.nodes.some((node) => (this.fresh(node)?.freshAt ?? -Infinity) > mine + PEER_LAG_MS);
+    return this.nodes.some((node) => this.hasStore(node) && this.fresh(node)!.freshAt > mine + PEER_LAG_MS);
   }
 
   avoids(node: string, role: string): boolean {
@@ -85,9 +85,4 @@
   someWithoutStore(): boolean {
     return this.nodes.length === 0 || this.nodes.some((node) => this.fresh(node)?.gossip.withoutStore === true);
   }
-
-  /** Every single peer says right now that it has no store either. */
-  allWithoutStore(): boolean {
-    return this.nodes.every((node) => this.fresh(node)?.gossip.withoutStore === true);
-  }
 }
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -1,4 +1,4 @@
-import { PAGE_ROWS, WATCH_PAUSE_MS, WATCH_WAIT_MS } from '../constants.js';
+import { PAGE_ROWS, TOMBSTONES_KEPT, WATCH_PAUSE_MS, WATCH_WAIT_MS } from '../constants.js';
 import type { Clock } from '../net/clock.js';
 import { Priority } from '../net/token-bucket.js';
 import type { Change, StateClient } from './client.js';
@@ -9,6 +9,13 @@
   stamp: number;
 }
 
+/** A change on its way to a peer: the value as JSON; null: the key was dropped. */
+export interface SentChange {
+  key: string;
+  value: string | null;
+  stamp: number;
+}
+
 export type Listener = (key: string, now: Stored, before: Stored | undefined) => void;
 
 /**
@@ -18,9 +25,15 @@
 export class Replica {
   private rows = new Map<string, Stored>();
   private listeners: Listener[] = [];
-  private tombstones: string[] = [];
+  /** Dropped keys, oldest first: what peers' copies may not know yet. */
+  private tombstones: { key: string; stamp: number }[] = [];
+  /** Drops up to this revision are no longer known here. */
+  private floor = 0;
   private refreshing: Promise<boolean> | undefined;
+  /** The copy is complete up to this revision; of later ones it holds some. */
   epoch = 0;
+  /** How many changes the copy has taken in: another number shows that it may hold more. */
+  version = 0;
   loaded = false;
   /** Steady ms of the sending of the last request whose answer showed the replica complete. */
   freshAt = -Infinity;
@@ -48,7 +61,8 @@
     if (before !== undefined && before.stamp >= change.stamp) return;
     const now = { value: change.value, stamp: change.stamp };
     this.rows.set(change.key, now);
-    if (change.value === undefined) this.tombstones.push(change.key);
+    this.version++;
+    if (change.value === undefined) this.tombstones.push({ key: change.key, stamp: change.stamp });
     for (const listener of this.listeners) listener(change.key, now, before);
   }
 
@@ -63,13 +77,53 @@
   private advance(epoch: number): void {
     if (epoch <= this.epoch) return;
     this.epoch = epoch;
-    this.tombstones = this.tombstones.filter((key) => {
+    this.forgetDrops();
+  }
+
+  /** Old news of a dropped key is told by its Stamp, once the copy is complete beyond it. */
+  private forgetDrops(): void {
+    let count = 0;
+    while (this.tombstones.length - count > TOMBSTONES_KEPT && this.tombstones[count]!.stamp <= this.epoch) {
+      const { key, stamp } = this.tombstones[count++]!;
+      this.floor = Math.max(this.floor, stamp);
       const row = this.rows.get(key);
-      if (row === undefined || row.value !== undefined) return false;
-      if (row.stamp > epoch) return true;
-      this.rows.delete(key);
-      return false;
-    });
+      if (row?.value === undefined && row?.stamp === stamp) this.rows.delete(key);
+    }
+    if (count > 0) this.tombstones.splice(0, count);
+  }
+
+  /**
+   * What has changed since a copy was complete up to `from`, oldest first. With all of it a copy is complete up to `upTo`.
+   * Not `whole`: there is more, from `upTo` on.
+   */
+  since(from: number, maxBytes: number): { changes: SentChange[]; upTo: number; whole: boolean } {
+    const rows = [...this.rows].filter(([, { stamp }]) => stamp > from).sort(([, a], [, b]) => a.stamp - b.stamp);
+    const changes: SentChange[] = [];
+    let bytes = 0;
+    for (const [key, { value, stamp }] of rows) {
+      const text = value === undefined ? null : JSON.stringify(value);
+      bytes += key.length + (text?.length ?? 0) + 16;
+      // All changes of a revision go together.
+      const last = changes.at(-1)?.stamp;
+      if (bytes > maxBytes && last !== undefined && stamp > last) {
+        return { changes, upTo: this.completeTo(from, last), whole: false };
+      }
+      changes.push({ key, value: text, stamp });
+    }
+    return { changes, upTo: this.completeTo(from, this.epoch), whole: true };
+  }
+
+  /** Where drops have been forgotten, a copy that lacks them becomes no more complete by what is left. */
+  private completeTo(from: number, stamp: number): number {
+    return from < this.floor ? from : Math.max(from, Math.min(stamp, this.epoch));
+  }
+
+  /** Takes in what a peer's copy holds since a revision up to which this one is complete. False: it builds on more. */
+  takeSince(from: number, upTo: number, changes: readonly Change[]): boolean {
+    if (!this.loaded || from > this.epoch) return false;
+    for (const change of changes) this.hear(change);
+    this.advance(upTo);
+    return true;
   }
 
   /** Reads all records; what is no longer there is dropped. */
@@ -94,6 +148,8 @@
       }
     }
     this.epoch = Math.max(this.epoch, first);
+    // Drops before it have not been seen here.
+    this.floor = Math.max(this.floor, first);
     this.loaded = true;
     this.freshAt = Math.max(this.freshAt, sentAt);
   }
--- /dev/null
+++ b/test/gap.test.ts
@@ -0,0 +1,132 @@
+import assert from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+import type { Answer } from '../src/api/jobs.js';
+import { Cluster, type ClusterOptions } from '../src/testing/cluster.js';
+
+let cluster: Cluster;
+afterEach(() => cluster.stop());
+
+const CANCEL_MS = 36_000;
+const NODES = [0, 1, 2];
+const service = { Shape: 'service', Rank: 'prod', GuessS: 0, Spread: false, Shards: 1 };
+
+async function ready(options: ClusterOptions = {}): Promise<void> {
+  cluster = new Cluster({ nodes: 3, ...options });
+  for (let index = 0; index < 9; index++) {
+    cluster.addWorker({ host: `i-00000${index}`, site: ['a', 'b', 'c'][index % 3]! });
+  }
+  await cluster.advance(5000);
+}
+
+/** A service whose task runs on a machine of n0's part: n0 is then the one to be refused. */
+async function runOnNode0(): Promise<string> {
+  for (let n = 0; n < 8; n++) {
+    const ref = `j-svc${n}`;
+    await cluster.submit({ ...service, Ref: ref });
+    const host = cluster.runs(`${ref}/0`)[0]?.host;
+    if (host !== undefined && cluster.node(0).claims.ownerOf(cluster.node(0).owner.roleOf(host)) === 'n0') return ref;
+  }
+  throw new Error('no task on a machine of n0');
+}
+
+/** Nothing that n0 is told over the mesh arrives, nor what it says. */
+function part(node: string): () => void {
+  const pairs = NODES.map((each) => `n${each}`)
+    .filter((each) => each !== node)
+    .flatMap((each) => [`${node}>${each}`, `${each}>${node}`]);
+  for (const pair of pairs) cluster.parted.add(pair);
+  return () => {
+    for (const pair of pairs) cluster.parted.delete(pair);
+  };
+}
+
+/** Calls a job off through a node that is not the refused one; returns the steady ms of the confirmation. */
+async function callOff(ref: string, node: number): Promise<number> {
+  let at = NaN;
+  const asked = cluster.node(node).jobs.withdraw(ref);
+  void asked.then(() => (at = cluster.clock.now()));
+  const answer: Answer = await cluster.during(asked, 300);
+  assert.deepEqual(answer.body, { Ref: ref, Phase: 'withdrawn' });
+  return at;
+}
+
+const endOf = (ref: string): number => cluster.runs(`${ref}/0`)[0]!.to ?? Infinity;
+
+function assertGoneInTime(ref: string, confirmedAt: number): void {
+  const late = endOf(ref) - confirmedAt - CANCEL_MS;
+  assert.ok(late <= 0, `${ref} was on its machine for ${late / 1000} s too long`);
+  assert.equal(cluster.runs(`${ref}/0`).length, 1, 'and never started again');
+}
+
+describe('the store refuses an owner alone, a peer confirms a cancellation, then the store is out for all', () => {
+  for (const refusedMs of [200, 1000, 2000, 2700]) {
+    it(`after ${refusedMs} ms: the tasks are gone in time, though the news was lost`, async () => {
+      await ready();
+      const ref = await runOnNode0();
+      cluster.store.refused.add('n0');
+      const heal = part('n0');
+      await cluster.advance(refusedMs / 2);
+      const at = await callOff(ref, 1);
+      await cluster.advance(Math.max(0, refusedMs / 2 - 300));
+      cluster.store.out = true;
+      heal();
+      await cluster.advance(64_000);
+      assertGoneInTime(ref, at);
+    });
+  }
+
+  it('and they are gone in time where the mesh stays cut, by the clock alone', async () => {
+    await ready();
+    const ref = await runOnNode0();
+    cluster.store.refused.add('n0');
+    part('n0');
+    const at = await callOff(ref, 1);
+    cluster.store.out = true;
+    await cluster.advance(64_000);
+    assertGoneInTime(ref, at);
+  });
+
+  it('and the word of a node that came back in the outage does not stand for what its former life confirmed', async () => {
+    await ready();
+    const ref = await runOnNode0();
+    cluster.store.refused.add('n0');
+    const heal = part('n0');
+    // Nobody but n1 hears of it either.
+    const alone = part('n1');
+    const watch = cluster.network.fault({ from: 'n2', path: /^\/watch/, kind: 'lose' });
+    const at = await callOff(ref, 1);
+    cluster.store.out = true;
+    cluster.crash(1);
+    watch();
+    cluster.start(1);
+    alone();
+    heal();
+    await cluster.advance(64_000);
+    assertGoneInTime(ref, at);
+  });
+
+  it('and what nobody called off lives through the outage, though the copies differed by seconds', async () => {
+    await ready();
+    const ref = await runOnNode0();
+    cluster.store.refused.add('n0');
+    await cluster.advance(2700);
+    cluster.store.out = true;
+    await cluster.advance(64_000);
+    cluster.store.refused.clear();
+    cluster.store.endOutage();
+    await cluster.advance(8000);
+    assert.equal(endOf(ref), Infinity);
+    assert.equal(cluster.runs(`${ref}/0`).length, 1);
+  });
+
+  it('and tasks called off are stopped by whoever reaches the machine, without waiting for their owner', async () => {
+    await ready();
+    const ref = await runOnNode0();
+    cluster.store.refused.add('n0');
+    part('n0');
+    const at = await callOff(ref, 1);
+    cluster.store.out = true;
+    await cluster.advance(8000);
+    assert.ok(endOf(ref) - at < 8000, 'within seconds');
+  });
+});
