--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -11,6 +11,11 @@
 import { FakeNetwork } from './fake-network.js';
 import { FakeStore } from './fake-store.js';
 import { FakeWorker, type WorkerOptions } from './fake-worker.js';
+import { Judge, type UserAnswer } from './judge.js';
+
+/** ms that users wait for an answer. */
+const POLL_PATIENCE_MS = 2000;
+const REQUEST_PATIENCE_MS = 5000;
 
 const noLog: Log = { error: () => undefined, warn: () => undefined, info: () => undefined, debug: () => undefined };
 
@@ -70,6 +75,8 @@
   readonly network = new FakeNetwork(this.clock);
   readonly store = new FakeStore(this.clock);
   readonly cloud: FakeCloud;
+  /** Sees all that workers run and users are told. */
+  readonly judge: Judge;
   readonly workers = new Map<string, FakeWorker>();
   /** Workers that are dead or cut off from all nodes. */
   readonly cut = new Set<string>();
@@ -80,12 +87,17 @@
   /** Pairs "n0>n1" of nodes whose gossip does not arrive. */
   readonly parted = new Set<string>();
   private readonly nodes = new Map<string, Node>();
+  private readonly leaseS: number;
   private readonly ticking = new AbortController();
 
   constructor(private readonly options: ClusterOptions = {}) {
-    this.cloud = new FakeCloud(options.flavors ?? [C8]);
+    const flavors = options.flavors ?? [C8];
+    const { teams, workers } = settingsOf(0, 1, options).cluster;
+    this.leaseS = workers.lease_s;
+    this.judge = new Judge({ teams, flavors, cancelS: workers.cancel_s });
+    this.cloud = new FakeCloud(flavors);
     this.cloud.onReturn = (host) => this.kill(host);
-    this.network.serve('store:1', (method, path, body, _signal, from) => this.store.handle(method, path, body, from));
+    this.network.serve('store:1', (method, path, body, { from }) => this.store.handle(method, path, body, from));
     this.network.serve('cloud:1', (method, path, body) => this.cloud.handle(method, path, body));
     for (let index = 0; index < (options.nodes ?? 1); index++) this.start(index);
     void this.tick();
@@ -102,7 +114,7 @@
     };
     const controller = new Controller(settings, tuning, guarded, this.clock, noLog, 7 + index);
     this.nodes.set(settings.node, { controller, stop });
-    controller.send = (to, message) => this.carry(settings.node, to, message);
+    controller.send = (to, message) => !stop.signal.aborted && this.carry(settings.node, to, message);
     void controller.duties(stop.signal);
   }
 
@@ -117,18 +129,21 @@
   }
 
   addWorker(options: Omit<WorkerOptions, 'leaseS'>): FakeWorker {
-    const worker = new FakeWorker(this.clock, { leaseS: 10, ...options });
-    this.workers.set(options.host, worker);
-    this.network.serve(worker.endpoint, (method, path, body) =>
-      this.cut.has(options.host) || this.mute.has(options.host)
+    const { host, flavor = 'c8', site = 'a', reclaimable = false } = options;
+    const worker = new FakeWorker(this.clock, { leaseS: this.leaseS, ...options });
+    this.workers.set(host, worker);
+    this.judge.machineUp(host, { flavor, site, reclaimable });
+    worker.onStart = (shard, orderedAt) => this.judge.taskStarted(this.clock.now(), host, shard, orderedAt);
+    worker.onEnd = (shard, cause) => this.judge.taskEnded(this.clock.now(), host, shard, cause);
+    this.network.serve(worker.endpoint, (method, path, body, sender) =>
+      this.cut.has(host) || this.mute.has(host)
         ? new Promise<Reply>(() => undefined)
-        : worker.handle(method, path, body),
+        : worker.handle(method, path, body, sender.at),
     );
-    const { flavor, site, reclaimable } = options;
-    this.cloud.machines.set(options.host, {
-      Flavor: flavor ?? 'c8',
-      Site: site ?? 'a',
-      Reclaimable: reclaimable ?? false,
+    this.cloud.machines.set(host, {
+      Flavor: flavor,
+      Site: site,
+      Reclaimable: reclaimable,
       Phase: 'running',
       HeldS: 100,
     });
@@ -137,8 +152,8 @@
 
   /** The machine is gone, with all that is on it. */
   kill(host: string): void {
-    const worker = this.workers.get(host);
-    for (const run of worker?.history ?? []) run.to ??= this.clock.now();
+    this.workers.get(host)?.die();
+    this.judge.machineGone(this.clock.now(), host);
     this.workers.delete(host);
     this.cut.add(host);
   }
@@ -146,6 +161,11 @@
   private async tick(): Promise<void> {
     while (!this.ticking.signal.aborted) {
       await this.clock.sleep(500, this.ticking.signal);
+      for (const [host, worker] of this.workers) {
+        const reached = !this.cut.has(host) && !this.mute.has(host);
+        this.judge.machineUsable(host, reached && worker.warningS === null);
+      }
+      this.judge.look(this.clock.now());
       for (const [host, worker] of this.workers) {
         if (this.cut.has(host)) {
           worker.report();
@@ -179,22 +199,61 @@
     return this.clock.advance(ms);
   }
 
-  /** Waits for an answer while time passes. */
+  /** Waits for an answer while time passes, and longer if it takes longer. */
   async during<T>(promise: Promise<T>, ms = 3000): Promise<T> {
+    let settled = false;
+    void promise.finally(() => (settled = true));
     await this.advance(ms);
+    while (!settled) await this.advance(500);
     return promise;
   }
 
+  /** A user sends a job; the answer comes as time passes. */
+  post(body: unknown, node = 0): Promise<Answer> {
+    this.judge.submitted(body);
+    const ref = String((body as { Ref?: unknown } | null)?.Ref);
+    return this.asUser('submit', ref, node, ({ jobs }) => jobs.submit(body));
+  }
+
+  ask(ref: string, node = 0): Promise<Answer> {
+    return this.asUser('poll', ref, node, ({ jobs }) => jobs.poll(ref));
+  }
+
+  cancel(ref: string, node = 0): Promise<Answer> {
+    this.judge.cancelAsked(this.clock.now(), ref);
+    return this.asUser('withdraw', ref, node, ({ jobs }) => jobs.withdraw(ref));
+  }
+
+  private async asUser(
+    kind: UserAnswer['kind'],
+    ref: string,
+    index: number,
+    call: (controller: Controller) => Promise<Answer>,
+  ): Promise<Answer> {
+    const askedAt = this.clock.now();
+    const none: Answer = { status: 0, body: undefined };
+    const node = this.nodes.get(`n${index}`);
+    const waiting = new AbortController();
+    const patience = this.clock.sleep(kind === 'poll' ? POLL_PATIENCE_MS : REQUEST_PATIENCE_MS, waiting.signal);
+    const answer =
+      node === undefined ? none : await Promise.race([call(node.controller), patience.then((): Answer => none)]);
+    waiting.abort();
+    // A node that has ended in the meantime has told nobody anything.
+    const told = node?.stop.signal.aborted ? none : answer;
+    this.judge.answered({ kind, ref, askedAt, at: this.clock.now(), status: told.status, body: told.body });
+    return told;
+  }
+
   submit(fields: object, node = 0): Promise<Answer> {
-    return this.during(this.node(node).jobs.submit(jobOf(fields)));
+    return this.during(this.post(jobOf(fields), node));
   }
 
   poll(ref: string, node = 0): Promise<Answer> {
-    return this.during(this.node(node).jobs.poll(ref));
+    return this.during(this.ask(ref, node));
   }
 
   withdraw(ref: string, node = 0): Promise<Answer> {
-    return this.during(this.node(node).jobs.withdraw(ref));
+    return this.during(this.cancel(ref, node));
   }
 
   /** Every start of a task, on whatever machine, from first to last. */
@@ -223,6 +282,12 @@
     return runs.filter((run, at) => runs.some((other, i) => i < at && (other.to ?? Infinity) > run.from)).length;
   }
 
+  /** Ends the story; tells which rules were broken in it, if any. */
+  verdict(): string[] {
+    this.stop();
+    return this.judge.verdict(this.clock.now());
+  }
+
   stop(): void {
     this.ticking.abort();
     for (const { stop } of this.nodes.values()) stop.abort();
--- a/src/testing/fake-network.ts
+++ b/src/testing/fake-network.ts
@@ -1,13 +1,13 @@
 import { NoAnswer, type CallOptions, type HttpClient, type Reply } from '../net/http-client.js';
 import type { FakeClock } from './fake-clock.js';
 
-export type Handler = (
-  method: string,
-  path: string,
-  body: unknown,
-  signal?: AbortSignal,
-  from?: string,
-) => Promise<Reply> | Reply;
+export interface Sender {
+  from: string;
+  /** When it sent the request, which may be long ago. */
+  at: number;
+}
+
+export type Handler = (method: string, path: string, body: unknown, sender: Sender) => Promise<Reply> | Reply;
 
 /** What happens to messages from one host to an address; the first fault that matches counts. */
 export interface Fault {
@@ -73,6 +73,7 @@
     body: unknown,
     options: CallOptions,
   ): Promise<Reply> {
+    const sender = { from, at: this.clock.now() };
     const copy: unknown = body === undefined ? undefined : JSON.parse(JSON.stringify(body));
     const fault = this.match(from, to, path);
     const handler = this.handlers.get(to);
@@ -81,7 +82,7 @@
     if (fault?.kind === 'status') return { status: fault.status!, body: fault.body ?? {} };
     const deliver = () => {
       this.log.push({ from, to, method, path, body: copy });
-      return handler(method, path, copy, options.signal, from);
+      return handler(method, path, copy, sender);
     };
     if (fault !== undefined) {
       if (fault.kind === 'mute') void deliver();
--- a/src/testing/fake-worker.ts
+++ b/src/testing/fake-worker.ts
@@ -36,6 +36,12 @@
   fence = 0;
   warningS: number | null = null;
   lastAnswered: number;
+  /** Called when a task starts; `orderedAt`: when the command was sent. */
+  onStart: (shard: string, orderedAt: number) => void = () => undefined;
+  /** Called when a task that has started ends, also with the machine. */
+  onEnd: (shard: string, cause: string) => void = () => undefined;
+  private dead = false;
+  private wakesAt = Infinity;
   private at: string | undefined;
   private telling = false;
   /** Until then it waits for an answer that does not come, and a little more. */
@@ -47,6 +53,32 @@
   ) {
     this.endpoint = `${options.host}:9000`;
     this.lastAnswered = clock.now();
+    this.wake();
+  }
+
+  /** Sees to it that leases and tasks end at their time, though nobody looks. */
+  private wake(): void {
+    let next = this.lastAnswered + this.options.leaseS * 1000;
+    for (const [shard, task] of this.tasks) {
+      if (task.Phase === 'running' && !this.isEndless(shard))
+        next = Math.min(next, task.startedAt + this.options.runMs!);
+    }
+    if (this.dead || next >= this.wakesAt) return;
+    this.wakesAt = next;
+    void this.clock.sleep(next - this.clock.now()).then(() => {
+      if (this.wakesAt === next) this.wakesAt = Infinity;
+      this.pass();
+    });
+  }
+
+  private isEndless(shard: string): boolean {
+    return this.options.runMs === undefined || shard.startsWith('j-svc');
+  }
+
+  /** The machine is gone, with all that is on it. */
+  die(): void {
+    this.dead = true;
+    for (const [shard, task] of this.tasks) if (task.Phase !== 'exited') this.end(shard, 'gone');
   }
 
   private end(shard: string, cause: string): void {
@@ -55,11 +87,13 @@
     task.Cause = cause;
     const run = this.history.findLast((each) => each.shard === shard && each.attempt === task.Try);
     if (run !== undefined) run.to = this.clock.now();
+    this.onEnd(shard, cause);
   }
 
   private pass(): void {
+    if (this.dead) return;
     const now = this.clock.now();
-    if (now - this.lastAnswered > this.options.leaseS * 1000) {
+    if (now - this.lastAnswered >= this.options.leaseS * 1000) {
       for (const [shard, task] of this.tasks) if (task.Phase !== 'exited') this.end(shard, 'killed');
       this.tasks.clear();
       this.tenure++;
@@ -68,9 +102,10 @@
     for (const [shard, task] of this.tasks) {
       const { runMs, sick } = this.options;
       if (task.Phase === 'running' && sick) this.end(shard, 'error');
-      const over = runMs !== undefined && now - task.startedAt >= runMs && !shard.startsWith('j-svc');
+      const over = !this.isEndless(shard) && now - task.startedAt >= runMs!;
       if (task.Phase === 'running' && over) this.end(shard, 'done');
     }
+    this.wake();
   }
 
   /** Its report as it would send it now. */
@@ -90,7 +125,7 @@
     };
   }
 
-  private obey(body: Orders): void {
+  private obey(body: Orders, sentAt: number): void {
     for (const order of body.Orders) {
       const task = this.tasks.get(order.Shard);
       if (order.Verb === 'launch') {
@@ -98,21 +133,23 @@
         if (task !== undefined && task.Phase !== 'exited') continue;
         this.tasks.set(order.Shard, { Try: order.Try, Phase: 'running', startedAt: this.clock.now() });
         this.history.push({ shard: order.Shard, attempt: order.Try, from: this.clock.now(), to: undefined });
+        this.onStart(order.Shard, sentAt);
       } else if (task?.Try === order.Try) {
         if (order.Verb === 'kill' && task.Phase !== 'exited') this.end(order.Shard, 'stopped');
         if (order.Verb === 'forget' && task.Phase === 'exited') this.tasks.delete(order.Shard);
       }
     }
+    this.wake();
   }
 
-  /** What `/commands` does. */
-  handle(_method: string, path: string, body: unknown): Reply {
+  /** What `/commands` and `/show` do. */
+  handle(_method: string, path: string, body: unknown, sentAt = this.clock.now()): Reply {
     this.pass();
     if (path === '/show') return { status: 200, body: this.report() };
     const orders = body as Orders;
     if (orders.Fence < this.fence || orders.Tenure !== this.tenure) return { status: 409, body: this.report() };
     this.fence = orders.Fence;
-    this.obey(orders);
+    this.obey(orders, sentAt);
     return { status: 200, body: this.report() };
   }
 
@@ -138,7 +175,7 @@
       if (orders.Fence < this.fence || tenure !== this.tenure) return;
       this.fence = orders.Fence;
       this.lastAnswered = sentAt;
-      this.obey(orders);
+      this.obey(orders, this.clock.now());
       return;
     }
     if (reply === undefined) this.waitsUntil = sentAt + 5000;
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -3,7 +3,7 @@
 import { C8, Cluster, type ClusterOptions } from '../src/testing/cluster.js';
 
 let cluster: Cluster;
-afterEach(() => cluster.stop());
+afterEach(() => assert.deepEqual(cluster.verdict(), []));
 
 async function ready(options: ClusterOptions = {}, machines = 2): Promise<Cluster> {
   cluster = new Cluster(options);
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -14,8 +14,9 @@
 
 let cluster: Cluster | undefined;
 afterEach(() => {
-  cluster?.stop();
+  const broken = cluster?.verdict() ?? [];
   cluster = undefined;
+  assert.deepEqual(broken, []);
 });
 
 async function ready(nodes: number, machines: number, cluster_ = {}, teams = [{ name: 'red' }]): Promise<Cluster> {
@@ -258,7 +259,7 @@
     };
     const refuse = cluster!.network.fault({ from: 'n0', path: /txn/, kind: 'status', status: 429 });
     const jobs = Array.from({ length: 12 }, (_, n) =>
-      cluster!.node(1).jobs.submit(jobOf({ Ref: `j-wait${n}`, Shards: 12, GuessS: 5 })),
+      cluster!.post(jobOf({ Ref: `j-wait${n}`, Shards: 12, GuessS: 5 }), 1),
     );
     for (let n = 0; n < 40; n++) {
       await cluster!.advance(50);
--- /dev/null
+++ b/test/judge.test.ts
@@ -0,0 +1,346 @@
+import assert from 'node:assert/strict';
+import { beforeEach, describe, it } from 'node:test';
+import { C8, Cluster, jobOf } from '../src/testing/cluster.js';
+import { Judge, type UserAnswer } from '../src/testing/judge.js';
+
+let judge: Judge;
+let now: number;
+beforeEach(() => {
+  now = 1000;
+  judge = new Judge({
+    teams: [{ name: 'red', cpus_max: 8 }, { name: 'blue' }],
+    flavors: [C8, { ...C8, Sku: 'big', Cpus: 64, MemGb: 512 }],
+    cancelS: 36,
+  });
+  judge.machineUp('i-1', { flavor: 'c8', site: 'a', reclaimable: false });
+  judge.machineUp('i-2', { flavor: 'c8', site: 'b', reclaimable: false });
+  judge.machineUp('i-spot', { flavor: 'big', site: 'a', reclaimable: true });
+});
+
+const ref = 'j-000001';
+const answer = (kind: UserAnswer['kind'], status: number, phase?: string, askedAt = now - 1) =>
+  judge.answered({ kind, ref, askedAt, at: now, status, body: phase === undefined ? {} : { Ref: ref, Phase: phase } });
+/** A user submits a job and is told that it is accepted. */
+const accept = (fields: object = {}) => {
+  judge.submitted(jobOf(fields));
+  answer('submit', 201, 'queued');
+  now += 100;
+};
+const cancel = () => {
+  judge.cancelAsked(now - 1, ref);
+  answer('withdraw', 200, 'withdrawn');
+  now += 100;
+};
+const start = (host: string, shard = 0, orderedAt = now, job = ref) =>
+  judge.taskStarted(now, host, `${job}/${shard}`, orderedAt);
+const end = (host: string, shard = 0, cause = 'done') => judge.taskEnded(now, host, `${ref}/${shard}`, cause);
+const rules = () => {
+  judge.verdict(now);
+  return judge.broken.map((each) => each.rule);
+};
+/** Time passes, and the judge looks every second. */
+const pass = (s: number) => {
+  for (let n = 0; n < s; n++) judge.look((now += 1000));
+};
+
+describe('the judge finds nothing wrong', () => {
+  it('with a job that runs to its end, and one that is cancelled in time', () => {
+    accept({ Shards: 2 });
+    start('i-1');
+    start('i-2', 1);
+    now += 5000;
+    answer('poll', 200, 'running');
+    end('i-1');
+    end('i-2', 1);
+    now += 3000;
+    answer('poll', 200, 'done');
+    judge.cancelAsked(now, ref);
+    answer('withdraw', 200, 'done');
+    assert.deepEqual(rules(), []);
+  });
+
+  it('with a task that begins anew once it has left its machine', () => {
+    accept();
+    start('i-1');
+    judge.machineGone(now, 'i-1');
+    start('i-2');
+    assert.deepEqual(rules(), []);
+  });
+
+  it('with a question that was asked before another answer came', () => {
+    accept({ Shape: 'service' });
+    start('i-1');
+    const askedAt = now - 500;
+    cancel();
+    answer('poll', 200, 'running', askedAt);
+    end('i-1', 0, 'stopped');
+    assert.deepEqual(rules(), []);
+  });
+});
+
+describe('the judge catches', () => {
+  it('ran_twice: a task starts while it is on another machine, or still on the same', () => {
+    accept();
+    start('i-1');
+    start('i-2');
+    assert.deepEqual(rules(), ['ran_twice']);
+    end('i-2');
+    start('i-1');
+    assert.deepEqual(rules(), ['ran_twice', 'ran_twice']);
+  });
+
+  it('quota: tasks of all jobs of a team count together', () => {
+    accept({ Cpus: 4, Shards: 2 });
+    judge.submitted(jobOf({ Ref: 'j-000002', Cpus: 2 }));
+    start('i-1');
+    start('i-2', 1);
+    assert.deepEqual(rules(), []);
+    start('i-2', 0, now, 'j-000002');
+    assert.deepEqual(rules(), ['quota']);
+  });
+
+  it('wrong_place: type, zone and kind', () => {
+    const jobs = [{ Flavors: ['c8'], Reclaimable: true }, { Site: 'b', Reclaimable: true }, { Reclaimable: false }];
+    jobs.forEach((fields, n) => {
+      judge.submitted(jobOf({ Ref: `j-${n}`, ...fields }));
+      judge.taskStarted(now, 'i-spot', `j-${n}/0`);
+    });
+    assert.deepEqual(rules(), ['wrong_place', 'wrong_place', 'wrong_place']);
+  });
+
+  it('wrong_place: one zone for all, as long as any task is there', () => {
+    accept({ Shards: 3, OneZone: true });
+    start('i-1');
+    start('i-2', 1);
+    assert.deepEqual(rules(), ['wrong_place']);
+    end('i-1', 0, 'stopped');
+    start('i-2', 2);
+    assert.deepEqual(rules(), ['wrong_place']);
+  });
+
+  it('wrong_place: more than half, rounded up, of a spread job in one zone', () => {
+    accept({ Shards: 3, Spread: true });
+    start('i-1');
+    start('i-1', 1);
+    assert.deepEqual(rules(), []);
+    start('i-1', 2);
+    assert.deepEqual(rules(), ['wrong_place']);
+  });
+
+  it('ran_cancelled: a task still there after the time, though its machine hangs', () => {
+    accept();
+    start('i-1');
+    cancel();
+    pass(35);
+    assert.deepEqual(rules(), []);
+    pass(2);
+    assert.deepEqual(rules(), ['ran_cancelled']);
+  });
+
+  it('ran_cancelled: the end comes too late, with no look in between', () => {
+    accept();
+    start('i-1');
+    cancel();
+    now += 37_000;
+    end('i-1', 0, 'stopped');
+    assert.deepEqual(rules(), ['ran_cancelled']);
+  });
+
+  it('started_cancelled: a start whose command was sent after the confirmation', () => {
+    accept();
+    cancel();
+    start('i-1');
+    assert.deepEqual(rules(), ['started_cancelled']);
+    assert.deepEqual(judge.lateStarts, []);
+  });
+
+  it('no rule, but a start to be noted, where the command was on its way; it still has to end in time', () => {
+    accept();
+    const sentAt = now - 100;
+    cancel();
+    start('i-1', 0, sentAt);
+    assert.deepEqual(rules(), []);
+    assert.equal(judge.lateStarts.length, 1);
+    pass(37);
+    assert.deepEqual(rules(), ['ran_cancelled']);
+  });
+
+  it('forgotten: an accepted job is unknown, or refused when submitted again', () => {
+    accept();
+    answer('poll', 404);
+    answer('submit', 400);
+    answer('submit', 422);
+    assert.deepEqual(rules(), ['forgotten', 'forgotten', 'forgotten']);
+  });
+
+  it('forgotten: no question is answered for 75 s after the troubles', () => {
+    accept({ Cpus: 8 });
+    start('i-1');
+    const ask = (s: number) => {
+      for (let n = 0; n < s; n += 5) {
+        now += 5000;
+        answer('poll', 503);
+      }
+    };
+    ask(200);
+    assert.deepEqual(rules(), []);
+    judge.troublesOver(now);
+    ask(70);
+    answer('poll', 200, 'running');
+    ask(70);
+    assert.deepEqual(rules(), []);
+    ask(10);
+    assert.deepEqual(rules(), ['forgotten']);
+  });
+
+  it('invented: an answer for a job that nobody submitted', () => {
+    answer('poll', 404);
+    assert.deepEqual(rules(), []);
+    answer('poll', 200, 'queued');
+    assert.deepEqual(rules(), ['invented']);
+  });
+
+  it('not_done: a task is missing, or a service', () => {
+    accept({ Shards: 2 });
+    start('i-1');
+    end('i-1');
+    answer('poll', 200, 'done');
+    assert.deepEqual(rules(), ['not_done']);
+    judge.submitted(jobOf({ Ref: 'j-svc', Shape: 'service' }));
+    judge.answered({ kind: 'poll', ref: 'j-svc', askedAt: now, at: now, status: 200, body: { Phase: 'done' } });
+    assert.deepEqual(rules(), ['not_done', 'not_done']);
+  });
+
+  it('went_back: something else after done', () => {
+    accept();
+    start('i-1');
+    end('i-1');
+    answer('poll', 200, 'done');
+    now += 1000;
+    answer('poll', 200, 'running');
+    assert.deepEqual(rules(), ['went_back']);
+  });
+
+  it('went_back: cancelled and done, whoever asked first', () => {
+    accept();
+    start('i-1');
+    end('i-1');
+    judge.cancelAsked(now, ref);
+    const askedAt = now - 50;
+    answer('poll', 200, 'done');
+    answer('withdraw', 200, 'withdrawn', askedAt);
+    assert.deepEqual(rules(), ['went_back']);
+  });
+
+  it('went_back: something else after cancelled, also at a repeated submission', () => {
+    accept();
+    cancel();
+    answer('submit', 200, 'queued');
+    assert.deepEqual(rules(), ['went_back']);
+  });
+
+  it('went_back: cancelled, though not by its user', () => {
+    accept();
+    answer('poll', 200, 'withdrawn');
+    assert.deepEqual(rules(), ['went_back']);
+  });
+
+  it('wrongly_accepted: a job that can never run', () => {
+    const never = [
+      { Owner: 'nobody' },
+      { Owner: 'blue', Cpus: 65 },
+      { Owner: 'blue', Cpus: 9, Flavors: ['c8'] },
+      { Owner: 'blue', Site: 'z' },
+      { Shape: 'service', Shards: 5 },
+      { Shape: 'ensemble', Shards: 5 },
+    ];
+    never.forEach((fields, n) => {
+      judge.submitted(jobOf({ Ref: `j-${n}`, ...fields }));
+      const told = { kind: 'submit' as const, ref: `j-${n}`, askedAt: now, at: now, status: 201 };
+      judge.answered({ ...told, body: { Phase: 'queued' } });
+      assert.equal(rules().length, n + 1, JSON.stringify(fields));
+    });
+    assert.ok(rules().every((rule) => rule === 'wrongly_accepted'));
+  });
+
+  it('wrongly_accepted: each field that is missing or invalid, but null may be left out', () => {
+    accept({ Flavors: undefined, Site: null, DueS: undefined });
+    assert.deepEqual(rules(), []);
+    const names = Object.keys(jobOf({})).filter((name) => name !== 'Ref');
+    for (const name of names) {
+      [undefined, null, {}].forEach((value, n) => {
+        judge.submitted(jobOf({ Ref: `j-${name}-${n}`, [name]: value }));
+        const told = { kind: 'submit' as const, ref: `j-${name}-${n}`, askedAt: now, at: now, status: 201 };
+        judge.answered({ ...told, body: { Phase: 'queued' } });
+      });
+    }
+    assert.equal(rules().length, names.length * 3);
+    // A repeat of an accepted job gets its state, whatever it looks like.
+    judge.submitted({ Ref: ref });
+    answer('submit', 200, 'queued');
+    assert.equal(rules().length, names.length * 3);
+  });
+
+  it('left_waiting: 90 s after the troubles, with room and the limit free', () => {
+    accept();
+    pass(200);
+    assert.deepEqual(rules(), []);
+    judge.troublesOver(now);
+    pass(89);
+    assert.deepEqual(rules(), []);
+    pass(2);
+    assert.deepEqual(rules(), ['left_waiting']);
+  });
+
+  it('left_waiting only if there is room: free machines that fit and can be reached, under the limit', () => {
+    accept({ Cpus: 6 });
+    judge.troublesOver(now);
+    judge.submitted(jobOf({ Ref: 'j-000002', Owner: 'blue', Cpus: 4 }));
+    judge.submitted(jobOf({ Ref: 'j-000003', Cpus: 4 }));
+    start('i-1', 0, now, 'j-000002');
+    judge.machineUsable('i-2', false);
+    pass(100);
+    judge.machineUsable('i-2', true);
+    start('i-1', 0, now, 'j-000003');
+    pass(100);
+    assert.deepEqual(rules(), [], 'first there was no machine, then the team was at its limit');
+    judge.taskEnded(now, 'i-1', 'j-000003/0', 'done');
+    pass(91);
+    assert.deepEqual(rules(), ['left_waiting']);
+  });
+
+  it('left_waiting of a gang only if there is room for all of it, in its zones', () => {
+    accept({ Owner: 'blue', Shape: 'ensemble', Shards: 8, Cpus: 2, OneZone: true });
+    judge.troublesOver(now);
+    pass(100);
+    assert.deepEqual(rules(), [], 'four fit in each zone');
+    judge.machineUp('i-3', { flavor: 'c8', site: 'b', reclaimable: false });
+    pass(91);
+    assert.deepEqual(rules(), ['left_waiting']);
+  });
+});
+
+describe('a cluster feeds its judge', () => {
+  it('with what its workers really run, whoever told them to, and with what its users were really told', async () => {
+    const cluster = new Cluster();
+    const first = cluster.addWorker({ host: 'i-1' });
+    const second = cluster.addWorker({ host: 'i-2', site: 'b' });
+    await cluster.advance(5000);
+    await cluster.submit({ Ref: 'j-svc', Shape: 'service', Rank: 'prod', GuessS: 0 });
+    const host = cluster.runs('j-svc/0')[0]!.host;
+    const other = host === 'i-1' ? second : first;
+    const orders = [{ Verb: 'launch', Shard: 'j-svc/0', Try: 9 }];
+    other.handle('POST', '/commands', { Fence: other.fence, Tenure: 1, Orders: orders });
+    assert.deepEqual(
+      cluster.judge.broken.map((each) => each.rule),
+      ['ran_twice'],
+    );
+    await cluster.withdraw('j-svc');
+    other.handle('POST', '/commands', { Fence: other.fence, Tenure: 1, Orders: [{ ...orders[0], Try: 10 }] });
+    assert.deepEqual(
+      cluster.judge.broken.map((each) => each.rule),
+      ['ran_twice', 'started_cancelled'],
+    );
+    assert.equal(cluster.verdict().length, 2);
+  });
+});
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -5,7 +5,7 @@
 import { Worker } from '../src/workers/worker.js';
 
 let cluster: Cluster;
-afterEach(() => cluster.stop());
+afterEach(() => assert.deepEqual(cluster.verdict(), []));
 
 async function ready(nodes: number, machines: number): Promise<Cluster> {
   cluster = new Cluster({ nodes });
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -10,8 +10,9 @@
 
 let cluster: Cluster | undefined;
 afterEach(() => {
-  cluster?.stop();
+  const broken = cluster?.verdict() ?? [];
   cluster = undefined;
+  assert.deepEqual(broken, []);
 });
 
 async function ready(nodes: number, machines: number): Promise<Cluster> {
@@ -87,7 +88,7 @@
   it('hears of a change from the node that made it, before its own watch tells it', async () => {
     await ready(3, 3);
     cluster!.network.fault({ path: /^\/watch/, kind: 'lose' });
-    const answer = cluster!.node(0).jobs.submit({
+    const answer = cluster!.post({
       ...{ Ref: 'j-svc', Jobclass: 'web', Owner: 'red', Shape: 'service', Rank: 'prod', Shards: 3, Cpus: 2, Cards: 0 },
       ...{ MemGb: 4, Bundle: 'img-1', SizeGb: 1, OneZone: false, Spread: true, Reclaimable: false, GuessS: 0 },
       ...{ SnapshotEveryS: 0, SnapshotS: 0 },
