--- a/test/gap.test.ts
+++ b/test/gap.test.ts
@@ -4,7 +4,7 @@
 import { Cluster, type ClusterOptions } from '../src/testing/cluster.js';
 
 let cluster: Cluster;
-afterEach(() => cluster.stop());
+afterEach(() => assert.deepEqual(cluster.verdict(), []));
 
 const CANCEL_MS = 36_000;
 const NODES = [0, 1, 2];
@@ -43,7 +43,7 @@
 /** Calls a job off through a node that is not the refused one; returns the steady ms of the confirmation. */
 async function callOff(ref: string, node: number): Promise<number> {
   let at = NaN;
-  const asked = cluster.node(node).jobs.withdraw(ref);
+  const asked = cluster.cancel(ref, node);
   void asked.then(() => (at = cluster.clock.now()));
   const answer: Answer = await cluster.during(asked, 300);
   assert.deepEqual(answer.body, { Ref: ref, Phase: 'withdrawn' });
