A machine that only answers commands is silent; kills of cancelled tasks reach it

The story of the service failed before: new work went to the machine by its answers to commands, for ever.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -459,8 +459,8 @@
       }
       const workers = [...this.owner.workers.values()].filter((worker) => this.claims.partOf(worker.host) === part);
       const limit = silenceLimitMs(this.settings.cluster.workers);
-      const silent = workers.filter((worker) => now - worker.heardAt > limit);
-      const seen = silent.filter((worker) => this.peers.knocked(worker.host, worker.heardAt));
+      const silent = workers.filter((worker) => now - worker.reportedAt > limit);
+      const seen = silent.filter((worker) => this.peers.knocked(worker.host, worker.reportedAt));
       if (
         silent.length >= 2 &&
         silent.length > workers.length * SELF_SUSPECT_SHARE &&
--- a/src/controller/fleet.ts
+++ b/src/controller/fleet.ts
@@ -129,7 +129,7 @@
       reclaimable: worker.reclaimable,
       tenure: worker.tenure,
       tick: worker.tick,
-      heardAt: worker.heardAt,
+      heardAt: worker.reportedAt,
       warnedUntil: worker.warnedUntil,
       sick: worker.isSick(now),
       cooling: now < worker.coolUntil,
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -99,7 +99,7 @@
   }
 
   isSilent(worker: Worker, now: number): boolean {
-    return now - worker.heardAt > SILENT_REPORTS * this.settings.cluster.workers.report_s * 1000;
+    return now - worker.reportedAt > SILENT_REPORTS * this.settings.cluster.workers.report_s * 1000;
   }
 
   /** Answers a report; `door` is the node that passed it on, if one did. */
@@ -274,8 +274,6 @@
     const held = this.claims.holding(role);
     const worker = this.workers.get(host);
     if (held === undefined || worker === undefined || worker.tenure === 0) return;
-    // A worker that reports by way of another node is behind a cut: commands would only hang, and may arrive late.
-    if (this.isSilent(worker, this.clock.now()) || worker.door !== undefined) return;
     if (worker.pushing) {
       worker.pushAgain = true;
       return;
@@ -283,13 +281,16 @@
     const desired = this.desiredOn(host);
     const plan = reconcile(worker, desired, this.rights(held, false));
     this.carryOut(worker, role, plan);
-    // A withdrawal is final: what is left of the job is stopped by whatever copy knows of it, fresh or not.
-    if (!this.claims.inTouch) plan.orders = plan.orders.filter(({ shard }) => desired.get(shard)?.withdrawn === true);
+    // A worker that reports by way of another node is behind a cut: commands would only hang, and may arrive late. One that
+    // is silent may be dead, or can only answer. The kill of a cancelled task is final, so it may come whenever it can, by
+    // whatever copy knows of it.
+    const far = !this.claims.inTouch || this.isSilent(worker, this.clock.now()) || worker.door !== undefined;
     // A launch whose arrival is open is repeated by the next report's answer, not by another command.
     const orders = plan.orders.filter(
       (order) =>
-        order.verb === 'kill' ||
+        (order.verb === 'kill' && (!far || desired.get(order.shard)?.withdrawn === true)) ||
         (order.verb === 'launch' &&
+          !far &&
           !worker.openCommands.has(keyOf(order)) &&
           !worker.answeredLaunches.has(keyOf(order))),
     );
--- a/src/workers/worker.ts
+++ b/src/workers/worker.ts
@@ -29,6 +29,11 @@
   answeredAt = -Infinity;
   /** Steady ms when anything was last heard. */
   heardAt = -Infinity;
+  /**
+   * Steady ms of its last report by itself; until it has sent one, when it was first heard. Answers of commands don't
+   * count: a machine that can only answer loses its lease, and all that is sent there with it.
+   */
+  reportedAt = -Infinity;
   /** Steady ms when the cloud takes the machine away. */
   warnedUntil: number | null = null;
   /** Launches whose arrival is open: sent by /commands without an answer, with the fence they bore. */
@@ -97,6 +102,7 @@
     this.fence = Math.max(this.fence, report.fence);
     this.tasks = report.tasks;
     this.heardAt = now;
+    if (first) this.reportedAt = now;
     this.noteTimes(now, first);
     this.warnedUntil = report.warningS === null ? null : now + report.warningS * 1000;
     for (const [key, fence] of this.openCommands) if (fence < this.fence) this.openCommands.delete(key);
@@ -112,6 +118,7 @@
    */
   noteAnswer(report: Report, fence: number, door: string | undefined, lateMs: number, now: number): void {
     this.hello = { tenure: report.tenure, tick: report.tick };
+    this.reportedAt = now;
     this.firstFence ??= fence;
     if (this.confirmedAt === -Infinity) this.confirmedAt = now;
     const inTime = now - this.answeredAt <= lateMs;
