A held launch of a cancelled task does not start through an outage of the store

The story failed before: the task started 60 s after its cancellation, since no new token could be had. The other stories' guards stood; broken to see them fail: no kill of withdrawn tasks in answers; a task's absence final in spite of an open launch; no new token; places freed 3 s after the last report. The answer of a command that was sent for a former entry of a machine judges nothing any more; found by reading, no story.

--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -123,6 +123,7 @@
     if (worker.isLate(report)) return { status: 200, body: { Fence: held.fence, Orders: [] } };
     const newSession = report.tenure > worker.tenure && worker.tenure > 0;
     if (newSession) this.log.info({ machine: report.host, tenure: report.tenure }, 'worker began a new session');
+    if (this.mustExpire(worker, report, now)) return { status: 503, body: { error: 'no new token' } };
     worker.noteAnswer(report, held.fence, door, reportLateMs(this.settings.cluster.workers), now);
     // A report that crossed a newer answer of `/commands` is no late copy: the worker waits for its answer.
     worker.take(report, now, true);
@@ -146,6 +147,26 @@
     return { status: 200, body: { Fence: held.fence, Orders: orders } };
   }
 
+  /**
+   * A launch of a cancelled task may still be on its way, and no new token has shut it out, since the store gives none. It
+   * is carried out whenever it arrives, so the lease has to end instead, early enough. The cancellation may be older than
+   * its first sight here by one lease (a worker not heard for longer is in a new session), the age of the copy and a delay.
+   */
+  private mustExpire(worker: Worker, report: Report, now: number): boolean {
+    const isOpen = ([name, { place, withdrawn }]: [string, Desired]) => {
+      const fence = worker.openCommands.get(attemptOf(place));
+      const there = report.tasks.get(name)?.attempt === place.slot.attempt;
+      return withdrawn && !there && fence !== undefined && fence >= report.fence;
+    };
+    if (report.tenure !== worker.tenure || ![...this.desiredOn(report.host)].some(isOpen)) {
+      worker.openSince = undefined;
+      return false;
+    }
+    worker.openSince ??= now;
+    const { workers } = this.settings.cluster;
+    return now - worker.openSince >= holdOverMs(workers) - leaseOverAt(0, workers.lease_s) - 2 * FRESH_MS;
+  }
+
   private turnAway(report: Report, role: string, now: number): HelloAnswer {
     const owner = this.claims.ownerOf(role);
     if (owner === undefined || owner === this.settings.node) return { status: 503, body: { error: 'not entitled' } };
@@ -301,6 +322,8 @@
     this.log.debug({ machine: host, orders: orders.map((o) => `${o.verb} ${keyOf(o)}`) }, 'commands');
     const result = await sendCommands(this.http, worker.endpoint, held.fence, worker.tenure, orders);
     worker.pushing = false;
+    // The part was lost and is back: what has been sent since is known to the new entry only, so this one judges nothing.
+    if (this.workers.get(host) !== worker) return;
     if (result.kind === 'unknown') {
       this.log.info({ machine: host, launches }, 'commands without an answer');
     } else {
--- a/src/workers/worker.ts
+++ b/src/workers/worker.ts
@@ -38,6 +38,8 @@
   warnedUntil: number | null = null;
   /** Launches whose arrival is open: sent by /commands without an answer, with the fence they bore. */
   readonly openCommands = new Map<string, number>();
+  /** Steady ms since when a launch of a cancelled task is open; undefined: none is. */
+  openSince: number | undefined;
   /** Launches in the answer to a report, with that report's Tick. */
   readonly answeredLaunches = new Map<string, number>();
   /** The node by way of which the last report came; undefined: this one. */
--- a/test/meetings-workers.test.ts
+++ b/test/meetings-workers.test.ts
@@ -3,7 +3,8 @@
 import { Cluster, jobOf, type ClusterOptions } from '../src/testing/cluster.js';
 
 let cluster: Cluster;
-afterEach(() => cluster.stop());
+/** Every story ends with the judge's verdict. */
+afterEach(() => assert.deepEqual(cluster.verdict(), []));
 
 async function ready(machines: number, options: ClusterOptions = { nodes: 3 }, runMs = 5000): Promise<Cluster> {
   cluster = new Cluster(options);
@@ -42,7 +43,7 @@
     muzzle(host);
     for (let second = 0; second < 40; second++) {
       // Some job goes to every machine that counts as open, and each command's answer is one more report of it.
-      void cluster.node(second % 3).jobs.submit(jobOf({ Ref: `j-${second}`, Shards: 1, Cpus: 1 }));
+      void cluster.post(jobOf({ Ref: `j-${second}`, Shards: 1, Cpus: 1 }), second % 3);
       await cluster.advance(1000);
     }
     assert.deepEqual(
@@ -97,3 +98,92 @@
     assert.ok(next!.from - since > 10_000 && next!.from - since < 14_000, `${next!.from - since} ms`);
   });
 });
+
+/** The machine hangs; commands that were sent to it in the meantime are carried out when it goes on. */
+function hang(host: string): () => void {
+  const speak = muzzle(host);
+  const heal = cluster.network.fault({ to: `${host}:9000`, kind: 'hold' });
+  return () => {
+    heal();
+    cluster.network.release();
+    speak();
+  };
+}
+
+describe('a command that is held up', () => {
+  it('starts nothing for long, when its job is cancelled before the machine goes on', async () => {
+    await ready(1);
+    const goOn = hang('i-000000');
+    void cluster.post(jobOf(service));
+    await cluster.advance(600);
+    assert.equal(phase(await cluster.withdraw('j-svc', 1)), 'withdrawn');
+    goOn();
+    await cluster.advance(10_000);
+    const [run] = cluster.runs('j-svc/0');
+    // A worker waits 5 s for an answer that does not come before it reports again.
+    assert.ok(run!.to! - run!.from < 6500, 'killed by the next answer');
+    assert.equal(cluster.judge.lateStarts.length, 1);
+    assert.equal(cluster.runs('j-svc/0').length, 1);
+    assert.ok(cluster.store.rows.has('ended/j-svc'));
+  });
+
+  it('is refused where the new token has come first, and its place is free only then', async () => {
+    await ready(1);
+    const [host] = [...cluster.workers.keys()];
+    cluster.network.fault({ to: 'cloud:1', kind: 'status', status: 503, body: { error: 'trouble' } });
+    const speak = muzzle(host!);
+    const heal = cluster.network.fault({ to: `${host}:9000`, kind: 'hold' });
+    void cluster.post(jobOf(service));
+    await cluster.advance(600);
+    assert.equal(phase(await cluster.withdraw('j-svc', 1)), 'withdrawn');
+    assert.equal(cluster.store.rows.has('ended/j-svc'), false, 'the launch may still arrive');
+    speak();
+    await cluster.advance(4000);
+    assert.ok(cluster.store.rows.has('ended/j-svc'));
+    heal();
+    cluster.network.release();
+    await cluster.advance(3000);
+    assert.equal(cluster.runs('j-svc/0').length, 0);
+  });
+
+  it('does not come through an outage of the store either, which keeps the owner from a new token', async () => {
+    await ready(1);
+    const [host] = [...cluster.workers.keys()];
+    const speak = muzzle(host!);
+    const heal = cluster.network.fault({ to: `${host}:9000`, kind: 'hold' });
+    void cluster.post(jobOf(service));
+    await cluster.advance(600);
+    void cluster.cancel('j-svc', 1);
+    await cluster.advance(300);
+    cluster.store.out = true;
+    speak();
+    await cluster.advance(60_000);
+    heal();
+    cluster.network.release();
+    await cluster.advance(5000);
+    cluster.store.endOutage();
+    await cluster.advance(8000);
+    assert.equal(cluster.runs('j-svc/0').length, 0);
+    assert.ok(cluster.store.rows.has('ended/j-svc'));
+  });
+
+  it('is not carried out after the lease, and a cancelled task does not go on after its machine hung', async () => {
+    await ready(2);
+    cluster.network.fault({ to: 'cloud:1', kind: 'status', status: 503, body: { error: 'trouble' } });
+    for (const hangMs of [8000, 14_000]) {
+      const ref = `j-svc-${hangMs}`;
+      await cluster.submit({ ...service, Ref: ref });
+      const host = where(`${ref}/0`);
+      const goOn = hang(host);
+      void cluster.cancel(ref, 1);
+      // Launches are on their way there too.
+      for (let n = 0; n < 4; n++) void cluster.post(jobOf({ Ref: `j-${hangMs}-${n}`, Shards: 2 }), n % 3);
+      await cluster.advance(hangMs);
+      goOn();
+      await cluster.advance(2000);
+      assert.notEqual(cluster.runs(`${ref}/0`)[0]!.to, undefined);
+      await cluster.advance(30_000);
+      for (let n = 0; n < 4; n++) assert.equal(phase(await cluster.poll(`j-${hangMs}-${n}`)), 'done');
+    }
+  });
+});
