--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -123,7 +123,7 @@
     if (worker.isLate(report)) return { status: 200, body: { Fence: held.fence, Orders: [] } };
     const newSession = report.tenure > worker.tenure && worker.tenure > 0;
     if (newSession) this.log.info({ machine: report.host, tenure: report.tenure }, 'worker began a new session');
-    if (this.mustExpire(worker, report, now)) return { status: 503, body: { error: 'no new token' } };
+    if (this.mustExpire(worker, report, held, now)) return { status: 503, body: { error: 'no new token' } };
     worker.noteAnswer(report, held.fence, door, reportLateMs(this.settings.cluster.workers), now);
     // A report that crossed a newer answer of `/commands` is no late copy: the worker waits for its answer.
     worker.take(report, now, true);
@@ -152,17 +152,19 @@
    * is carried out whenever it arrives, so the lease has to end instead, early enough. The cancellation may be older than
    * its first sight here by one lease (a worker not heard for longer is in a new session), the age of the copy and a delay.
    */
-  private mustExpire(worker: Worker, report: Report, now: number): boolean {
+  private mustExpire(worker: Worker, report: Report, held: Held, now: number): boolean {
     const isOpen = ([name, { place, withdrawn }]: [string, Desired]) => {
       const fence = worker.openCommands.get(attemptOf(place));
       const there = report.tasks.get(name)?.attempt === place.slot.attempt;
-      return withdrawn && !there && fence !== undefined && fence >= report.fence;
+      return withdrawn && !there && fence !== undefined && fence >= Math.max(report.fence, held.fence);
     };
     if (report.tenure !== worker.tenure || ![...this.desiredOn(report.host)].some(isOpen)) {
       worker.openSince = undefined;
       return false;
     }
     worker.openSince ??= now;
+    // With the store a new token is a moment away, and goes out with the next answer.
+    if (this.claims.inTouch) return false;
     const { workers } = this.settings.cluster;
     return now - worker.openSince >= holdOverMs(workers) - leaseOverAt(0, workers.lease_s) - 2 * FRESH_MS;
   }
--- a/test/meetings-workers.test.ts
+++ b/test/meetings-workers.test.ts
@@ -146,6 +146,19 @@
     assert.equal(cluster.runs('j-svc/0').length, 0);
   });
 
+  it('costs no other task of its machine while the store gives new tokens, however short a cancellation may take', async () => {
+    const workers = { report_s: 1, lease_s: 10, gang_wait_s: 30, gang_peer_s: 4, cancel_s: 16 };
+    await ready(1, { nodes: 3, cluster: { workers } });
+    await cluster.submit({ ...service, Ref: 'j-svc-old' });
+    cluster.network.fault({ to: 'i-000000:9000', kind: 'hold' });
+    void cluster.post(jobOf(service));
+    await cluster.advance(200);
+    assert.equal(phase(await cluster.withdraw('j-svc', 1)), 'withdrawn');
+    await cluster.advance(30_000);
+    assert.equal(cluster.runs('j-svc-old/0').length, 1);
+    assert.equal(cluster.runs('j-svc-old/0')[0]!.to, undefined);
+  });
+
   it('does not come through an outage of the store either, which keeps the owner from a new token', async () => {
     await ready(1);
     const [host] = [...cluster.workers.keys()];
