A known job answers a malformed repeat; unreadable news is refused whole

A repeat of an accepted job got 400 when a field was missing or invalid, which breaks a rule of the protocol: a known Ref wins now, and while the store can't say whether it is known the answer is 503. A cancellation of a job known to be over is answered from memory, also in an outage. News of a peer that can't be parsed threw, half of it taken in; now it is logged, none of it is believed, and the store is asked. Relays that can't be read are logged.

--- a/src/api/jobs.ts
+++ b/src/api/jobs.ts
@@ -67,7 +67,10 @@
 
   async submit(body: unknown): Promise<Answer> {
     const parsed = parseSubmission(body);
-    if (!parsed.ok) return { status: 400, body: { error: parsed.error } };
+    if (!parsed.ok) {
+      const malformed: Answer = { status: 400, body: { error: parsed.error } };
+      return parsed.ref === undefined ? malformed : this.ifKnown(parsed.ref, malformed);
+    }
     const { spec } = parsed;
     const known = this.final(spec.Ref);
     if (known !== undefined) return { status: 200, body: known };
@@ -121,7 +124,7 @@
 
   /** A job that is known gets its state, whatever else would have been said: accepted once, accepted for ever. */
   private async ifKnown(ref: string, otherwise: Answer): Promise<Answer> {
-    const state = await this.ask(ref);
+    const state = this.final(ref) ?? (await this.ask(ref));
     if (state === 'no answer') return later(OUT);
     return state === 'unknown' ? otherwise : { status: 200, body: state };
   }
@@ -139,6 +142,8 @@
   }
 
   async withdraw(ref: string): Promise<Answer> {
+    const over = this.final(ref);
+    if (over !== undefined) return { status: 200, body: { Ref: ref, Phase: over.Phase } };
     if (this.isOut) return later(OUT);
     const deadline = this.clock.now() + SUBMIT_DEADLINE_MS;
     while (this.clock.now() < deadline) {
--- a/src/api/submission.ts
+++ b/src/api/submission.ts
@@ -34,15 +34,22 @@
   DueS: orNull(amount),
 });
 
-export type Parsed = { ok: true; spec: JobSpec } | { ok: false; error: string };
+export type Parsed =
+  | { ok: true; spec: JobSpec }
+  /** `ref`: the job that it speaks of, if it can be told: should that be known, nothing else about it matters. */
+  | { ok: false; error: string; ref: string | undefined };
 
 /** Reads a submission; unknown fields are ignored. */
 export function parseSubmission(body: unknown): Parsed {
-  if (typeof body !== 'object' || body === null || Array.isArray(body)) return { ok: false, error: 'not an object' };
+  if (typeof body !== 'object' || body === null || Array.isArray(body)) {
+    return { ok: false, error: 'not an object', ref: undefined };
+  }
   const result = v.safeParse(SpecSchema, body);
   if (result.success) return { ok: true, spec: result.output };
   const issue = result.issues[0];
-  return { ok: false, error: `${v.getDotPath(issue) ?? 'body'}: ${issue.message}`.slice(0, 300) };
+  const { Ref: ref } = body as { Ref?: unknown };
+  const known = typeof ref === 'string' && REF.test(ref) ? ref : undefined;
+  return { ok: false, error: `${v.getDotPath(issue) ?? 'body'}: ${issue.message}`.slice(0, 300), ref: known };
 }
 
 /** Why the job can never run, or undefined. */
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -323,8 +323,21 @@
   }
 
   private learn({ changes }: News): void {
-    for (const { key, value, stamp } of changes) {
-      const change = { key, value: value === null ? undefined : (JSON.parse(value) as unknown), stamp };
+    let read: Change[];
+    try {
+      // All or nothing: a transaction's changes belong together.
+      read = changes.map(({ key, value, stamp }) => ({
+        key,
+        value: value === null ? undefined : (JSON.parse(value) as unknown),
+        stamp,
+      }));
+    } catch (error) {
+      this.log.warn({ error: String(error) }, 'news of a peer can not be read');
+      void this.replica.refresh();
+      return;
+    }
+    for (const change of read) {
+      const { key } = change;
       if (key.startsWith(LIVE)) this.replica.hear(change);
       else this.committer.remember(key, change);
     }
@@ -332,8 +345,9 @@
 
   private async relay(owner: string, body: unknown): Promise<Answer> {
     const answer = await this.relays.ask(owner, body);
-    if (answer?.status !== 200) return { status: 421, body: { Steward: owner } };
-    return { status: 200, body: JSON.parse(answer.body) as unknown };
+    const orders = answer?.status === 200 ? parseJson(answer.body) : undefined;
+    if (orders === undefined) return { status: 421, body: { Steward: owner } };
+    return { status: 200, body: orders };
   }
 
   /** What another controller says. */
@@ -345,8 +359,11 @@
     else if ('delta' in message) this.coverage.take(message.delta);
     else {
       const { node, id, report: text } = message.relay;
-      const report = decodeReport(JSON.parse(text));
-      if (report === undefined) return;
+      const report = decodeReport(parseJson(text));
+      if (report === undefined) {
+        this.log.warn({ from: node }, 'relayed report can not be read');
+        return;
+      }
       const { status, body } = this.owner.hello(report, node);
       this.send(node, { relayAnswer: { node: this.settings.node, id, status, body: JSON.stringify(body) } });
     }
@@ -557,6 +574,15 @@
   }
 }
 
+/** undefined: not JSON. */
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
 const newsOf = ({ heardAt, warnedUntil, ...rest }: MachineInfo, now: number, knownAt: number): MachineNews => ({
   ...rest,
   number: -1,
--- /dev/null
+++ b/test/input.test.ts
@@ -0,0 +1,234 @@
+import assert from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+import { Cluster, jobOf, type ClusterOptions } from '../src/testing/cluster.js';
+
+let cluster: Cluster;
+afterEach(() => cluster.stop());
+
+async function ready(options: ClusterOptions = {}, machines = 2): Promise<Cluster> {
+  cluster = new Cluster(options);
+  for (let index = 0; index < machines; index++) {
+    cluster.addWorker({ host: `i-00000${index}`, site: ['a', 'b', 'c'][index % 3]!, runMs: 5000 });
+  }
+  await cluster.advance(5000);
+  return cluster;
+}
+
+const body = (answer: { body: unknown }) => answer.body as { Phase: string; done: number };
+const send = (sent: unknown, node = 0) => cluster.during(cluster.node(node).jobs.submit(sent));
+const without = (fields: object, name: string): object =>
+  Object.fromEntries(Object.entries(fields).filter(([key]) => key !== name));
+
+/** Wrong values of each field; `undefined` leaves it out. Only `Flavors`, `Site` and `DueS` may be null or missing. */
+const WRONG: Record<string, unknown[]> = {
+  Ref: [undefined, null, 7, '', 'x', 'j-', 'j-a b', 'j-a/b', `j-${'a'.repeat(101)}`],
+  Jobclass: [undefined, null, 7],
+  Owner: [undefined, null, 7, ''],
+  Shape: [undefined, null, 'gang', 3],
+  Rank: [undefined, null, 'urgent', 3],
+  Shards: [undefined, null, '3', 0, -1, 1.5, 100_001],
+  Cpus: [undefined, null, '2', 0, -1],
+  Cards: [undefined, null, '1', -1],
+  MemGb: [undefined, null, '4', -1],
+  Bundle: [undefined, null, 7, ''],
+  SizeGb: [undefined, null, '1', -1],
+  Flavors: ['c8', [7], {}],
+  Site: [7, '', ['a']],
+  OneZone: [undefined, null, 'no', 0],
+  Spread: [undefined, null, 'no', 0],
+  Reclaimable: [undefined, null, 'no', 0],
+  GuessS: [undefined, null, '10', -1],
+  SnapshotEveryS: [undefined, null, '10', -1],
+  SnapshotS: [undefined, null, '10', -1],
+  DueS: ['10', -1],
+};
+
+describe('a submission', () => {
+  for (const [name, values] of Object.entries(WRONG)) {
+    it(`with a missing or invalid ${name} gets 400, and nothing is recorded`, async () => {
+      await ready();
+      const before = cluster.store.rows.size;
+      for (const value of values) {
+        const whole = jobOf({ Ref: 'j-bad' });
+        const sent = value === undefined ? without(whole, name) : { ...whole, [name]: value };
+        assert.equal((await send(sent)).status, 400, JSON.stringify(value));
+      }
+      assert.equal(cluster.store.rows.size, before);
+      assert.equal((await cluster.poll('j-bad')).status, 404);
+    });
+  }
+
+  it('may leave out what may be null, and add what nobody knows', async () => {
+    await ready();
+    const sent = { ...jobOf({ Ref: 'j-good' }), Colour: 'blue' };
+    for (const name of ['Flavors', 'Site', 'DueS']) assert.ok(!(name in sent));
+    assert.equal((await send(sent)).status, 201);
+    assert.equal((await send({ ...jobOf({ Ref: 'j-null' }), Flavors: null, Site: null, DueS: null })).status, 201);
+  });
+
+  it('that is no object gets 400', async () => {
+    await ready();
+    for (const sent of [null, 7, 'j-000001', [], [jobOf({})], true]) assert.equal((await send(sent)).status, 400);
+  });
+
+  it('that fits no machine, or needs more than the limit of its team, gets 422', async () => {
+    await ready({ teams: [{ name: 'red', cpus_max: 4 }] });
+    const never: object[] = [
+      { Owner: 'nobody' },
+      { Cpus: 9 },
+      { MemGb: 65 },
+      { Cards: 1 },
+      { Flavors: ['g8'] },
+      { Flavors: [] },
+      { Site: 'z' },
+      { Cpus: 5 },
+      { Shape: 'service', Shards: 3 },
+      { Shape: 'ensemble', Shards: 3 },
+    ];
+    for (const fields of never) {
+      assert.equal((await cluster.submit({ Ref: 'j-never', ...fields })).status, 422, JSON.stringify(fields));
+    }
+    assert.equal((await cluster.poll('j-never')).status, 404);
+    assert.equal((await cluster.submit({ Ref: 'j-many', Shards: 3 })).status, 201, 'an array takes turns');
+  });
+});
+
+describe('a repeated submission', () => {
+  const repeats: Record<string, object> = {
+    'the same': {},
+    'with other amounts': { Shards: 7, Cpus: 1, Rank: 'low' },
+    'of another team': { Owner: 'nobody' },
+    'that would fit no machine': { Cpus: 500 },
+    'with an invalid field': { Shards: 0 },
+    'with several invalid fields': { Shape: 'gang', Rank: null, Flavors: 3 },
+  };
+  for (const [name, fields] of Object.entries(repeats)) {
+    it(`${name} gets the state of the job, at every node, before its end and after`, async () => {
+      await ready({ nodes: 3 });
+      assert.equal((await cluster.submit({ Ref: 'j-again', Shards: 2 })).status, 201);
+      for (const node of [0, 1, 2]) {
+        const answer = await cluster.submit({ Ref: 'j-again', Shards: 2, ...fields }, node);
+        assert.equal(answer.status, 200);
+      }
+      await cluster.advance(12_000);
+      for (const node of [0, 1, 2]) {
+        const answer = await cluster.submit({ Ref: 'j-again', Shards: 2, ...fields }, node);
+        assert.deepEqual([answer.status, body(answer).Phase], [200, 'done']);
+      }
+      assert.equal(cluster.runs('j-again/0').length, 1);
+    });
+  }
+
+  it('that lacks a field gets the state of the job', async () => {
+    await ready();
+    assert.equal((await cluster.submit({ Ref: 'j-again' })).status, 201);
+    for (const name of Object.keys(WRONG).filter((each) => each !== 'Ref')) {
+      assert.equal((await send(without(jobOf({ Ref: 'j-again' }), name))).status, 200, name);
+    }
+  });
+
+  it('that is malformed is not refused for good while the store can not say whether the job is known', async () => {
+    await ready();
+    assert.equal((await cluster.submit({ Ref: 'j-again', Shape: 'service' })).status, 201);
+    cluster.crash(0);
+    cluster.store.out = true;
+    cluster.start(0);
+    await cluster.advance(3000);
+    const answer = await send({ Ref: 'j-again' });
+    assert.equal(answer.status, 503);
+    assert.ok((answer.retryAfter ?? 0) >= 1);
+    assert.equal((await send({ Ref: 'nothing' })).status, 400, 'no job ever had such a name');
+    cluster.store.endOutage();
+    await cluster.advance(5000);
+    assert.equal((await send({ Ref: 'j-again' })).status, 200);
+  });
+});
+
+describe('a cancellation', () => {
+  it('of a job that is done answers `done`, also while the store is out', async () => {
+    await ready({ nodes: 3 });
+    await cluster.submit({ Ref: 'j-done' });
+    await cluster.advance(12_000);
+    for (const node of [0, 1, 2]) {
+      const answer = await cluster.withdraw('j-done', node);
+      assert.deepEqual([answer.status, body(answer).Phase], [200, 'done']);
+    }
+    cluster.store.out = true;
+    await cluster.advance(5000);
+    const answer = await cluster.withdraw('j-done', 1);
+    assert.deepEqual([answer.status, body(answer).Phase], [200, 'done']);
+  });
+});
+
+describe('an unknown job', () => {
+  it('gets 404 only where the store says so, else 503 at once', async () => {
+    await ready({ nodes: 3 });
+    assert.equal((await cluster.poll('j-nobody')).status, 404);
+    assert.equal((await cluster.withdraw('j-nobody')).status, 404);
+    cluster.store.out = true;
+    await cluster.advance(4000);
+    for (const ask of [
+      () => cluster.node(1).jobs.poll('j-nobody'),
+      () => cluster.node(1).jobs.withdraw('j-nobody'),
+      () => cluster.node(1).jobs.submit(jobOf({ Ref: 'j-nobody' })),
+      () => cluster.node(1).jobs.submit({ Ref: 'j-nobody' }),
+    ]) {
+      const answer = await cluster.during(ask(), 10);
+      assert.equal(answer.status, 503);
+      assert.ok((answer.retryAfter ?? 0) >= 1);
+    }
+  });
+
+  it('gets 503 and no 404 from a node whose requests are lost', async () => {
+    await ready({ nodes: 3 });
+    cluster.network.fault({ from: 'n1', to: 'store:1', kind: 'lose' });
+    for (let turn = 0; turn < 4; turn++) {
+      assert.equal((await cluster.poll('j-nobody', 1)).status, 503);
+      assert.equal((await cluster.withdraw('j-nobody', 1)).status, 503);
+    }
+  });
+});
+
+describe('a message of a peer', () => {
+  const row = { Ref: 'j-new' };
+
+  it('whose news can not be read is refused whole, and what it told is asked of the store', async () => {
+    await ready({ nodes: 2 });
+    const node = cluster.node(1);
+    await cluster.submit({ Ref: 'j-old', Shape: 'service' });
+    const { stamp } = node.replica.get('live/job/j-old');
+    const changes = [
+      { key: 'live/job/j-old', value: null, stamp: stamp + 1000 },
+      { key: 'live/job/j-new', value: '{"spec":', stamp: stamp + 1000 },
+    ];
+    assert.doesNotThrow(() => node.receive({ news: { changes } }));
+    assert.notEqual(node.replica.get('live/job/j-old').value, undefined, 'no half of it is believed');
+    const asked = cluster.network.log.length;
+    await cluster.advance(10);
+    assert.ok(cluster.network.log.slice(asked).some(({ from, path }) => from === 'n1' && path.startsWith('/watch')));
+    assert.equal(node.replica.get(`live/job/${row.Ref}`).value, undefined);
+    assert.equal(body(await cluster.poll('j-old', 1)).Phase, 'running');
+  });
+
+  it('that relays no report is left unanswered and ends nothing', async () => {
+    await ready({ nodes: 2 });
+    for (const report of ['{', '7', 'null', '{"Host":"i-000000"}']) {
+      assert.doesNotThrow(() => cluster.node(1).receive({ relay: { node: 'n0', id: 1, report } }));
+    }
+    cluster.node(1).receive({ relayAnswer: { node: 'n0', id: 99, status: 200, body: '{' } });
+    assert.equal((await cluster.submit({ Ref: 'j-after' }, 1)).status, 201);
+  });
+
+  it('that builds on one which never came is told once more in full, and no machine is known by halves', async () => {
+    await ready({ nodes: 2 }, 4);
+    cluster.parted.add('n0>n1');
+    await cluster.advance(1500);
+    cluster.parted.clear();
+    await cluster.advance(5000);
+    for (const { fleet } of [cluster.node(0), cluster.node(1)]) {
+      const machines = [...fleet.all().values()];
+      assert.equal(machines.filter((machine) => fleet.isOpen(machine)).length, 4);
+      for (const { heardAt } of machines) assert.ok(cluster.clock.now() - heardAt < 3000, 'and heard of just now');
+    }
+  });
+});
