Stand-ins: hung, mute and deaf machines, gangs, images, freezes, held cuts, late messages

Reports go over the fake network now, so every fault can hit them. 'mute' means what the users' words say: the machine reaches no controller, direct commands reach it; what was called so is 'deaf'. The story of gang members lost while the others wait now really has them wait, for a slow image.

--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -5,12 +5,15 @@
 import { Controller } from '../controller/controller.js';
 import type { Log } from '../controller/log.js';
 import { decodeMessage, encodeMessage, type Message } from '../mesh/messages.js';
-import type { Reply } from '../net/http-client.js';
+import type { Clock } from '../net/clock.js';
+import { NoAnswer, type HttpClient, type Reply } from '../net/http-client.js';
+import { Random } from '../net/random.js';
 import { FakeClock } from './fake-clock.js';
 import { FakeCloud } from './fake-cloud.js';
-import { FakeNetwork } from './fake-network.js';
+import { FakeGangs } from './fake-gangs.js';
+import { FakeNetwork, type Fault } from './fake-network.js';
 import { FakeStore } from './fake-store.js';
-import { FakeWorker, type WorkerOptions } from './fake-worker.js';
+import { ANSWER_MS, FakeWorker, type Description, type Room, type WorkerOptions } from './fake-worker.js';
 import { Judge, type UserAnswer } from './judge.js';
 
 /** ms that users wait for an answer. */
@@ -30,6 +33,7 @@
 interface Node {
   controller: Controller;
   stop: AbortController;
+  freezer: Freezer;
 }
 
 export const C8 = {
@@ -69,6 +73,79 @@
   );
 }
 
+/** Room of machines of a type that the cloud does not list. */
+const ANY_ROOM: Room = { Cpus: Infinity, Cards: Infinity, MemGb: Infinity };
+
+/** When and for how long a node stands still. */
+export interface Trap {
+  /** Of a request that it sends or answers; for users: submit, poll or withdraw. */
+  path: RegExp;
+  /** Before it sends a request, before it takes in the answer, or before its own answer goes out. */
+  when: 'sending' | 'answered' | 'answering';
+  forMs: number;
+}
+
+/** Stands between a controller and the rest, so that it can stand still in the middle of anything. */
+class Freezer {
+  readonly traps: Trap[] = [];
+  /** The clock as the controller sees it: no wait of a frozen process ends. */
+  readonly thawed: Clock;
+  private until = -Infinity;
+
+  constructor(private readonly clock: FakeClock) {
+    this.thawed = {
+      now: () => clock.now(),
+      wall: () => clock.wall(),
+      sleep: async (ms, signal) => {
+        await clock.sleep(ms, signal);
+        if (this.isFrozen) await this.pass();
+      },
+    };
+  }
+
+  get isFrozen(): boolean {
+    return this.clock.now() < this.until;
+  }
+
+  freeze(forMs: number): void {
+    this.until = this.clock.now() + forMs;
+  }
+
+  async pass(): Promise<void> {
+    while (this.isFrozen) await this.clock.sleep(this.until - this.clock.now());
+  }
+
+  private async pause(when: Trap['when'], path: string): Promise<void> {
+    const at = this.traps.findIndex((trap) => trap.when === when && trap.path.test(path));
+    if (at >= 0) this.freeze(this.traps.splice(at, 1)[0]!.forMs);
+    await this.pass();
+  }
+
+  /** Requests of a process that has ended are never sent, and answers to it never heard. */
+  client(client: HttpClient, ended: AbortSignal): HttpClient {
+    const never = new Promise<Reply>(() => undefined);
+    return {
+      call: async (address, method, path, body, options) => {
+        await this.pause('sending', path);
+        if (ended.aborted) return never;
+        try {
+          return await client.call(address, method, path, body, options);
+        } finally {
+          await this.pause('answered', path);
+          if (ended.aborted) await never;
+        }
+      },
+    };
+  }
+
+  async serve<T>(path: string, answer: () => Promise<T> | T): Promise<T> {
+    await this.pass();
+    const reply = await answer();
+    await this.pause('answering', path);
+    return reply;
+  }
+}
+
 /** Whole controllers in one process, on a network, a clock, a store, a cloud and workers that tests command. */
 export class Cluster {
   readonly clock = new FakeClock();
@@ -81,11 +158,19 @@
   /** Workers that are dead or cut off from all nodes. */
   readonly cut = new Set<string>();
   /** Workers whose reports arrive, but which neither answers nor commands reach. */
+  readonly deaf = new Set<string>();
+  /** Workers that reach no node, while direct commands reach them. */
   readonly mute = new Set<string>();
   /** Pairs "i-000001>n1" of a worker and a node that it can't reach. */
   readonly unreachable = new Set<string>();
   /** Pairs "n0>n1" of nodes whose gossip does not arrive. */
   readonly parted = new Set<string>();
+  /** Of that share of the workers' reports a copy arrives again later, at the same node. */
+  lateReports: { share: number; lateMs: [number, number] } | undefined;
+  private readonly jobs = new Map<string, Description>();
+  private readonly results = new Set<string>();
+  private readonly gangs: FakeGangs;
+  private readonly random = new Random(11);
   private readonly nodes = new Map<string, Node>();
   private readonly leaseS: number;
   private readonly ticking = new AbortController();
@@ -94,52 +179,81 @@
     const flavors = options.flavors ?? [C8];
     const { teams, workers } = settingsOf(0, 1, options).cluster;
     this.leaseS = workers.lease_s;
+    this.gangs = new FakeGangs(this.clock, workers.gang_wait_s * 1000, workers.gang_peer_s * 1000);
     this.judge = new Judge({ teams, flavors, cancelS: workers.cancel_s });
     this.cloud = new FakeCloud(flavors);
     this.cloud.onReturn = (host) => this.kill(host);
     this.network.serve('store:1', (method, path, body, { from }) => this.store.handle(method, path, body, from));
     this.network.serve('cloud:1', (method, path, body) => this.cloud.handle(method, path, body));
+    this.network.weather = (from, to) => this.weather(from, to.split(':')[0]!);
     for (let index = 0; index < (options.nodes ?? 1); index++) this.start(index);
     void this.tick();
   }
 
+  /** What is lost between two hosts by the sets above. */
+  private weather(from: string, to: string): Fault['kind'] | undefined {
+    const isLost =
+      [from, to].some((host) => this.cut.has(host)) ||
+      this.deaf.has(to) ||
+      this.mute.has(from) ||
+      [this.unreachable, this.parted].some((pairs) => pairs.has(`${from}>${to}`));
+    if (isLost) return 'lose';
+    return this.deaf.has(from) ? 'answerLost' : undefined;
+  }
+
   start(index: number): void {
     const stop = new AbortController();
     setMaxListeners(0, stop.signal);
     const settings = settingsOf(index, this.options.nodes ?? 1, this.options);
     const tuning = { ...DEFAULT_TUNING, ...this.options.tuning };
-    const client = this.network.client(settings.node);
-    const guarded: typeof client = {
-      call: (...args) => (stop.signal.aborted ? new Promise<Reply>(() => undefined) : client.call(...args)),
-    };
-    const controller = new Controller(settings, tuning, guarded, this.clock, noLog, 7 + index);
-    this.nodes.set(settings.node, { controller, stop });
+    const freezer = new Freezer(this.clock);
+    const client = freezer.client(this.network.client(settings.node), stop.signal);
+    const controller = new Controller(settings, tuning, client, freezer.thawed, noLog, 7 + index);
+    const node = { controller, stop, freezer };
+    this.nodes.set(settings.node, node);
+    this.network.serve(`${settings.node}:8080`, async (_method, path, body) => {
+      const answer = await freezer.serve(path, () => controller.hello(body));
+      if (stop.signal.aborted) throw new NoAnswer('reset', true);
+      return answer;
+    });
     controller.send = (to, message) => !stop.signal.aborted && this.carry(settings.node, to, message);
     void controller.duties(stop.signal);
   }
 
-  /** Ends a node without a word. */
+  /** Ends a node without a word. What it has sent stays on its way. */
   crash(index: number): void {
     this.nodes.get(`n${index}`)?.stop.abort();
     this.nodes.delete(`n${index}`);
+    this.network.unserve(`n${index}:8080`);
+  }
+
+  /** A node stands still for a while, whatever it is doing, and then goes on as if nothing had been. */
+  freeze(index: number, forMs: number): void {
+    this.nodes.get(`n${index}`)?.freezer.freeze(forMs);
+  }
+
+  /** The same at the next moment at which the node is about to send such a request or answer, or has just sent one. */
+  freezeAt(index: number, trap: Trap): void {
+    this.nodes.get(`n${index}`)?.freezer.traps.push(trap);
   }
 
   node(index: number): Controller {
     return this.nodes.get(`n${index}`)!.controller;
   }
 
-  addWorker(options: Omit<WorkerOptions, 'leaseS'>): FakeWorker {
+  addWorker(options: WorkerOptions): FakeWorker {
     const { host, flavor = 'c8', site = 'a', reclaimable = false } = options;
-    const worker = new FakeWorker(this.clock, { leaseS: this.leaseS, ...options });
+    const worker = new FakeWorker(this.clock, options, (this.cloud.flavor(flavor) as Room | undefined) ?? ANY_ROOM, {
+      leaseS: this.leaseS,
+      describe: (ref) => this.jobs.get(ref),
+      gangs: this.gangs,
+      results: this.results,
+    });
     this.workers.set(host, worker);
     this.judge.machineUp(host, { flavor, site, reclaimable });
     worker.onStart = (shard, orderedAt) => this.judge.taskStarted(this.clock.now(), host, shard, orderedAt);
     worker.onEnd = (shard, cause) => this.judge.taskEnded(this.clock.now(), host, shard, cause);
-    this.network.serve(worker.endpoint, (method, path, body, sender) =>
-      this.cut.has(host) || this.mute.has(host)
-        ? new Promise<Reply>(() => undefined)
-        : worker.handle(method, path, body, sender.at),
-    );
+    this.network.serve(worker.endpoint, (method, path, body, sender) => worker.handle(method, path, body, sender.at));
     this.cloud.machines.set(host, {
       Flavor: flavor,
       Site: site,
@@ -162,36 +276,41 @@
     while (!this.ticking.signal.aborted) {
       await this.clock.sleep(500, this.ticking.signal);
       for (const [host, worker] of this.workers) {
-        const reached = !this.cut.has(host) && !this.mute.has(host);
-        this.judge.machineUsable(host, reached && worker.warningS === null);
+        const isReached = ![this.cut, this.deaf, this.mute].some((hosts) => hosts.has(host)) && !worker.hangs;
+        this.judge.machineUsable(host, isReached && worker.warningS === null);
       }
       this.judge.look(this.clock.now());
+      const names = Array.from({ length: this.options.nodes ?? 1 }, (_, index) => `n${index}`);
       for (const [host, worker] of this.workers) {
-        if (this.cut.has(host)) {
-          worker.report();
-          continue;
-        }
-        const doors = new Map<string, (body: unknown) => Reply | undefined | Promise<Reply | undefined>>();
-        for (let index = 0; index < (this.options.nodes ?? 1); index++) {
-          const name = `n${index}`;
-          const node = this.nodes.get(name);
-          doors.set(name, async (body) => {
-            if (this.unreachable.has(`${host}>${name}`)) return undefined;
-            const reply = await node?.controller.hello(body);
-            return this.mute.has(host) ? undefined : reply;
-          });
-        }
-        void worker.tell(doors);
+        void worker.tell(names, (node, report) => this.report(host, node, report));
       }
-      for (const [from, { controller }] of this.nodes) {
+      for (const [from, { controller, freezer }] of this.nodes) {
+        if (freezer.isFrozen) continue;
         for (const to of this.nodes.keys()) if (from !== to) this.carry(from, to, { gossip: controller.gossip(to) });
       }
     }
   }
 
+  private async report(host: string, node: string, report: unknown): Promise<Reply | undefined> {
+    const say = (from: string) =>
+      this.network
+        .client(from)
+        .call(`${node}:8080`, 'POST', '/hello', report, { timeoutMs: ANSWER_MS })
+        .catch(() => undefined);
+    if (this.lateReports !== undefined && this.random.float() < this.lateReports.share) {
+      const [least, most] = this.lateReports.lateMs;
+      // It is on its way already, whatever becomes of its worker.
+      void this.clock.sleep(least + this.random.float() * (most - least)).then(() => say('late-copies'));
+    }
+    return say(host);
+  }
+
   private carry(from: string, to: string, message: Message): boolean {
-    if (this.parted.has(`${from}>${to}`)) return true;
-    this.nodes.get(to)?.controller.receive(decodeMessage(encodeMessage(message)));
+    const bytes = encodeMessage(message);
+    this.network.post(from, to, () => {
+      const node = this.nodes.get(to);
+      void node?.freezer.pass().then(() => node.controller.receive(decodeMessage(bytes)));
+    });
     return true;
   }
 
@@ -212,6 +331,8 @@
   post(body: unknown, node = 0): Promise<Answer> {
     this.judge.submitted(body);
     const ref = String((body as { Ref?: unknown } | null)?.Ref);
+    // Its user uploads it for the workers.
+    if (!this.jobs.has(ref)) this.jobs.set(ref, body as Description);
     return this.asUser('submit', ref, node, ({ jobs }) => jobs.submit(body));
   }
 
@@ -236,7 +357,12 @@
     const waiting = new AbortController();
     const patience = this.clock.sleep(kind === 'poll' ? POLL_PATIENCE_MS : REQUEST_PATIENCE_MS, waiting.signal);
     const answer =
-      node === undefined ? none : await Promise.race([call(node.controller), patience.then((): Answer => none)]);
+      node === undefined
+        ? none
+        : await Promise.race([
+            node.freezer.serve(kind, () => call(node.controller)),
+            patience.then((): Answer => none),
+          ]);
     waiting.abort();
     // A node that has ended in the meantime has told nobody anything.
     const told = node?.stop.signal.aborted ? none : answer;
--- a/src/testing/fake-clock.ts
+++ b/src/testing/fake-clock.ts
@@ -2,15 +2,15 @@
 
 interface Timer {
   at: number;
-  order: number;
   fire: () => void;
 }
 
 /** Time that passes only when a test says so. */
 export class FakeClock implements Clock {
   private time = 1000;
-  private order = 0;
-  private timers: Timer[] = [];
+  /** Times at which something is due, the next one last. */
+  private readonly times: number[] = [];
+  private readonly due = new Map<number, Set<Timer>>();
 
   now(): number {
     return this.time;
@@ -23,31 +23,55 @@
   sleep(ms: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted) return Promise.resolve();
     return new Promise((resolve) => {
-      const timer: Timer = { at: this.time + ms, order: this.order++, fire: () => finish() };
       const finish = () => {
         signal?.removeEventListener('abort', finish);
-        this.timers = this.timers.filter((each) => each !== timer);
+        cancel();
         resolve();
       };
+      const cancel = this.after(ms, finish);
       signal?.addEventListener('abort', finish);
-      this.timers.push(timer);
     });
   }
 
+  /** Does it when the time has come, unless the function that it returns is called before. */
+  after(ms: number, fire: () => void): () => void {
+    const timer: Timer = { at: this.time + Math.max(0, ms), fire };
+    this.add(timer);
+    return () => void this.due.get(timer.at)?.delete(timer);
+  }
+
+  private add(timer: Timer): void {
+    const known = this.due.get(timer.at);
+    if (known !== undefined) {
+      known.add(timer);
+      return;
+    }
+    this.due.set(timer.at, new Set([timer]));
+    let [from, to] = [0, this.times.length];
+    while (from < to) {
+      const middle = (from + to) >> 1;
+      if (this.times[middle]! > timer.at) from = middle + 1;
+      else to = middle;
+    }
+    this.times.splice(from, 0, timer.at);
+  }
+
   /** Lets time pass, with all that happens in it, in order. */
   async advance(ms: number): Promise<void> {
     const end = this.time + ms;
     await settle();
-    for (;;) {
-      let next: Timer | undefined;
-      for (const timer of this.timers) {
-        if (timer.at > end) continue;
-        if (next === undefined || timer.at < next.at || (timer.at === next.at && timer.order < next.order))
-          next = timer;
+    for (let at = this.times.at(-1); at !== undefined && at <= end; at = this.times.at(-1)) {
+      const timers = [...this.due.get(at)!];
+      if (timers.length === 0) {
+        this.due.delete(at);
+        this.times.pop();
+        continue;
+      }
+      this.time = Math.max(this.time, at);
+      for (const timer of timers) {
+        // One may have cancelled another.
+        if (this.due.get(at)?.delete(timer)) timer.fire();
       }
-      if (next === undefined) break;
-      this.time = Math.max(this.time, next.at);
-      next.fire();
       await settle();
     }
     this.time = end;
--- a/src/testing/fake-cloud.ts
+++ b/src/testing/fake-cloud.ts
@@ -15,6 +15,10 @@
 
   constructor(readonly flavors: Record<string, unknown>[]) {}
 
+  flavor(sku: string): Record<string, unknown> | undefined {
+    return this.flavors.find((each) => each['Sku'] === sku);
+  }
+
   handle(method: string, path: string, body: unknown): Reply {
     if (path === '/machine_types') return { status: 200, body: { Flavors: this.flavors } };
     if (path === '/rentals/return') {
--- a/src/testing/fake-network.ts
+++ b/src/testing/fake-network.ts
@@ -1,10 +1,13 @@
 import { NoAnswer, type CallOptions, type HttpClient, type Reply } from '../net/http-client.js';
+import { Random } from '../net/random.js';
 import type { FakeClock } from './fake-clock.js';
 
 export interface Sender {
   from: string;
   /** When it sent the request, which may be long ago. */
   at: number;
+  /** Nobody waits for the answer any more. */
+  late?: boolean;
 }
 
 export type Handler = (method: string, path: string, body: unknown, sender: Sender) => Promise<Reply> | Reply;
@@ -15,37 +18,82 @@
   to?: string;
   path?: RegExp;
   /**
-   * refuse: never connected. lose: nothing arrives, no answer. mute: it arrives, the answer is lost.
-   * hold: it arrives when `release` is called, the answer is lost.
+   * refuse: never connected. lose: nothing arrives, no answer. answerLost: it arrives, the answer is lost.
+   * hold: it arrives when released, in order, and the answer too if somebody still waits for it.
+   * late: it arrives after `lateMs`, when newer ones have, and there is no answer.
    */
-  kind: 'refuse' | 'lose' | 'mute' | 'hold' | 'status';
+  kind: 'refuse' | 'lose' | 'answerLost' | 'hold' | 'late' | 'status';
   status?: number;
   body?: unknown;
+  /** The least and the most that a message is late, ms. */
+  lateMs?: [number, number];
+  /** How many of the messages it hits; all if left out. */
+  share?: number;
   /** How often; for ever if left out. */
   times?: number;
 }
 
+/** A host's name without the port. */
+const nameOf = (address: string) => address.split(':')[0]!;
+
 /** A network in memory: routes calls by address, and delays, loses, holds and repeats them as told. */
 export class FakeNetwork {
   private readonly handlers = new Map<string, Handler>();
   private faults: Fault[] = [];
-  private held: (() => void)[] = [];
+  private held: { fault: Fault; go: () => void }[] = [];
+  private readonly splits = new Map<Fault, Set<string>>();
+  private readonly random: Random;
+  /** All that was sent, whether it arrived or not. */
   readonly log: { from: string; to: string; method: string; path: string; body: unknown }[] = [];
+  /** Further faults, for whoever knows the hosts. */
+  weather: (from: string, to: string) => Fault['kind'] | undefined = () => undefined;
 
-  constructor(private readonly clock: FakeClock) {}
+  constructor(
+    private readonly clock: FakeClock,
+    seed = 1,
+  ) {
+    this.random = new Random(seed);
+  }
 
   serve(address: string, handler: Handler): void {
     this.handlers.set(address, handler);
   }
 
+  unserve(address: string): void {
+    this.handlers.delete(address);
+  }
+
+  /** Returns what ends it; what it holds stays held until `release`. */
   fault(fault: Fault): () => void {
     this.faults.push(fault);
     return () => (this.faults = this.faults.filter((each) => each !== fault));
   }
 
-  /** Delivers what was held, late. */
-  release(): void {
-    for (const deliver of this.held.splice(0)) deliver();
+  /** A cut that holds messages. Returns what ends it and delivers them. */
+  cut(where: { from?: string; to?: string; path?: RegExp }): () => void {
+    const fault: Fault = { ...where, kind: 'hold' };
+    const heal = this.fault(fault);
+    return () => {
+      heal();
+      this.release(fault);
+    };
+  }
+
+  /** Cuts these hosts off from all others; inside all goes on. Returns what ends it and delivers what was held. */
+  split(inside: Iterable<string>): () => void {
+    const fault: Fault = { kind: 'hold' };
+    this.splits.set(fault, new Set(inside));
+    return () => {
+      this.splits.delete(fault);
+      this.release(fault);
+    };
+  }
+
+  /** Delivers what was held, late and in order. */
+  release(by?: Fault): void {
+    const freed = this.held.filter(({ fault }) => by === undefined || fault === by);
+    this.held = this.held.filter((each) => !freed.includes(each));
+    for (const { go } of freed) go();
   }
 
   client(from: string): HttpClient {
@@ -54,15 +102,51 @@
     };
   }
 
+  /** Carries a message that has no answer, at once unless a fault is in the way. */
+  post(from: string, to: string, deliver: () => void): void {
+    const fault = this.match(from, to, '');
+    if (fault === undefined) deliver();
+    else if (fault.kind === 'hold') this.held.push({ fault, go: deliver });
+    else if (fault.kind === 'late') void this.clock.sleep(this.lateness(fault)).then(deliver);
+  }
+
+  private lateness({ lateMs: [least, most] = [2000, 12_000] }: Fault): number {
+    return least + this.random.float() * (most - least);
+  }
+
   private match(from: string, to: string, path: string): Fault | undefined {
     const found = this.faults.find(
       (fault) =>
         (fault.from === undefined || fault.from === from) &&
         (fault.to === undefined || fault.to === to) &&
-        (fault.path === undefined || fault.path.test(path)),
+        (fault.path === undefined || fault.path.test(path)) &&
+        (fault.share === undefined || this.random.float() < fault.share),
     );
     if (found?.times !== undefined && --found.times === 0) this.faults = this.faults.filter((each) => each !== found);
-    return found;
+    return found ?? this.lasting(from, to);
+  }
+
+  private lasting(from: string, to: string): Fault | undefined {
+    for (const [fault, inside] of this.splits) if (inside.has(nameOf(from)) !== inside.has(nameOf(to))) return fault;
+    const kind = this.weather(from, to);
+    return kind === undefined ? undefined : { kind };
+  }
+
+  /** Is there a cut that takes or holds an answer, one that began after the request? */
+  private onAnswer(from: string, to: string, path: string): Fault | undefined {
+    const cut = this.faults.find(
+      (fault) =>
+        (fault.kind === 'lose' || fault.kind === 'hold') &&
+        fault.share === undefined &&
+        (fault.from === undefined || fault.from === from) &&
+        (fault.to === undefined || fault.to === to) &&
+        (fault.path === undefined || fault.path.test(path)),
+    );
+    return cut ?? this.lasting(from, to);
+  }
+
+  private untilReleased(fault: Fault): Promise<void> {
+    return new Promise((resolve) => this.held.push({ fault, go: resolve }));
   }
 
   private async call(
@@ -73,37 +157,49 @@
     body: unknown,
     options: CallOptions,
   ): Promise<Reply> {
-    const sender = { from, at: this.clock.now() };
+    const sender: Sender = { from, at: this.clock.now() };
     const copy: unknown = body === undefined ? undefined : JSON.parse(JSON.stringify(body));
     const fault = this.match(from, to, path);
-    const handler = this.handlers.get(to);
     const what = `${method} ${to}${path}`;
-    if (handler === undefined || fault?.kind === 'refuse') throw new NoAnswer(`${what}: refused`, false);
+    if (!this.handlers.has(to) || fault?.kind === 'refuse') throw new NoAnswer(`${what}: refused`, false);
     if (fault?.kind === 'status') return { status: fault.status!, body: fault.body ?? {} };
-    const deliver = () => {
-      this.log.push({ from, to, method, path, body: copy });
-      return handler(method, path, copy, sender);
+    this.log.push({ from, to, method, path, body: copy });
+    const deliver = async (late = false): Promise<Reply> => {
+      const handler = this.handlers.get(to);
+      if (handler === undefined) throw new NoAnswer(`${what}: refused`, false);
+      return handler(method, path, copy, late ? { ...sender, late } : sender);
     };
-    if (fault !== undefined) {
-      if (fault.kind === 'mute') void deliver();
-      if (fault.kind === 'hold') this.held.push(() => void deliver());
-      await this.clock.sleep(options.timeoutMs);
-      throw new NoAnswer(`${what}: timeout`, true);
-    }
-    await this.clock.sleep(1);
-    const timeout = new AbortController();
-    const late = this.clock.sleep(options.timeoutMs, timeout.signal).then(() => {
-      throw new NoAnswer(`${what}: timeout`, true);
+    const ignored = (arrived: Promise<Reply>) => void arrived.catch(() => undefined);
+    let cancel = () => {};
+    const timedOut = new Promise<Reply>((_, reject) => {
+      cancel = this.clock.after(options.timeoutMs, () => reject(new NoAnswer(`${what}: timeout`, true)));
     });
-    late.catch(() => undefined);
-    const reply = await Promise.race([Promise.resolve(deliver()), late]);
-    timeout.abort();
-    // A cut that began in the meantime takes the answer too.
-    const since = this.match(from, to, path);
-    if (since?.kind === 'lose') {
-      await this.clock.sleep(options.timeoutMs);
-      throw new NoAnswer(`${what}: timeout`, true);
+    switch (fault?.kind) {
+      case 'answerLost':
+        ignored(deliver());
+        return timedOut;
+      case 'late':
+        ignored(this.clock.sleep(this.lateness(fault)).then(() => deliver(true)));
+        return timedOut;
+      case 'lose':
+        return timedOut;
+    }
+    const answer = async (): Promise<Reply> => {
+      if (fault === undefined) await this.clock.sleep(1);
+      else await this.untilReleased(fault);
+      const reply = await deliver(this.clock.now() - sender.at >= options.timeoutMs);
+      // A cut that began in the meantime takes the answer too.
+      const since = this.onAnswer(from, to, path);
+      if (since?.kind === 'hold') await this.untilReleased(since);
+      return since?.kind === 'lose' || since?.kind === 'answerLost' ? timedOut : reply;
+    };
+    const reply = answer();
+    timedOut.catch(() => undefined);
+    reply.catch(() => undefined);
+    try {
+      return JSON.parse(JSON.stringify(await Promise.race([reply, timedOut]))) as Reply;
+    } finally {
+      cancel();
     }
-    return JSON.parse(JSON.stringify(reply)) as Reply;
   }
 }
--- a/src/testing/fake-worker.ts
+++ b/src/testing/fake-worker.ts
@@ -1,17 +1,55 @@
 import type { Reply } from '../net/http-client.js';
 import type { FakeClock } from './fake-clock.js';
+import type { FakeGangs } from './fake-gangs.js';
+
+/** ms for which a worker waits for an answer to its report, and ms until it then tries the next node. */
+export const ANSWER_MS = 4000;
+const NEXT_NODE_MS = 1000;
+
+type Phase = 'fetching' | 'waiting' | 'running' | 'flushing' | 'exited';
 
 interface Task {
   Try: number;
-  Phase: string;
+  Phase: Phase;
   Cause?: string;
-  startedAt: number;
+  Saved?: boolean;
+  /** When its next step is due if nobody commands otherwise. */
+  dueAt: number;
+  orderedAt: number;
+}
+
+interface Order {
+  Verb: string;
+  Shard: string;
+  Try: number;
+  WindDownS?: number;
 }
 
 interface Orders {
   Fence: number;
   Tenure?: number;
-  Orders: { Verb: string; Shard: string; Try: number; WindDownS?: number }[];
+  Orders: Order[];
+}
+
+/** What a worker needs to know of a job; its user has uploaded it. */
+export interface Description {
+  Shape: string;
+  Shards: number;
+  Cpus: number;
+  Cards: number;
+  MemGb: number;
+  Bundle: string;
+  SnapshotEveryS: number;
+  SnapshotS: number;
+}
+
+/** What all workers share. */
+export interface Surroundings {
+  leaseS: number;
+  describe(ref: string): Description | undefined;
+  gangs: FakeGangs;
+  /** Tasks that are done: their results are kept. */
+  results: Set<string>;
 }
 
 export interface WorkerOptions {
@@ -19,13 +57,22 @@
   flavor?: string;
   site?: string;
   reclaimable?: boolean;
-  leaseS: number;
-  /** How long tasks run, ms; undefined, or for j-svc: until they are killed. */
+  /** How long tasks run, ms; undefined, for services and for jobs named j-svc...: until they are killed. */
   runMs?: number;
+  /** How long it takes to fetch an image; 0 if left out. */
+  imageMs?: number;
   /** Every task that starts here fails. */
   sick?: boolean;
 }
 
+export interface Room {
+  Cpus: number;
+  Cards: number;
+  MemGb: number;
+}
+
+const refOf = (shard: string) => shard.slice(0, shard.lastIndexOf('/'));
+
 /** A stand-in of a worker, by the protocol's words; it also keeps account of what ran when. */
 export class FakeWorker {
   readonly tasks = new Map<string, Task>();
@@ -36,78 +83,151 @@
   fence = 0;
   warningS: number | null = null;
   lastAnswered: number;
-  /** Called when a task starts; `orderedAt`: when the command was sent. */
+  /** Called when a task has its image; `orderedAt`: when the command was sent. */
   onStart: (shard: string, orderedAt: number) => void = () => undefined;
   /** Called when a task that has started ends, also with the machine. */
   onEnd: (shard: string, cause: string) => void = () => undefined;
+  private readonly images = new Set<string>();
   private dead = false;
+  private hungSince: number | undefined;
+  /** Its lease ran out while it hung; it learns that when it goes on. */
+  private leaseOver = false;
+  private sleepers: (() => void)[] = [];
   private wakesAt = Infinity;
   private at: string | undefined;
   private telling = false;
-  /** Until then it waits for an answer that does not come, and a little more. */
+  /** Until then it waits before it tries another node. */
   private waitsUntil = -Infinity;
 
   constructor(
     private readonly clock: FakeClock,
     readonly options: WorkerOptions,
+    private readonly room: Room,
+    private readonly around: Surroundings,
   ) {
     this.endpoint = `${options.host}:9000`;
     this.lastAnswered = clock.now();
     this.wake();
   }
 
-  /** Sees to it that leases and tasks end at their time, though nobody looks. */
-  private wake(): void {
-    let next = this.lastAnswered + this.options.leaseS * 1000;
-    for (const [shard, task] of this.tasks) {
-      if (task.Phase === 'running' && !this.isEndless(shard))
-        next = Math.min(next, task.startedAt + this.options.runMs!);
-    }
-    if (this.dead || next >= this.wakesAt) return;
-    this.wakesAt = next;
-    void this.clock.sleep(next - this.clock.now()).then(() => {
-      if (this.wakesAt === next) this.wakesAt = Infinity;
-      this.pass();
-    });
+  get hangs(): boolean {
+    return this.hungSince !== undefined;
+  }
+
+  /** It stops: no task goes on, no command is carried out, until it goes on. */
+  hang(): void {
+    this.hungSince ??= this.clock.now();
+    for (const [shard, task] of this.tasks) this.around.gangs.hung(this, shard, task.Try);
   }
 
-  private isEndless(shard: string): boolean {
-    return this.options.runMs === undefined || shard.startsWith('j-svc');
+  /** It goes on where it stopped; what reached it in the meantime comes next, in order. */
+  goOn(): void {
+    if (this.hungSince === undefined) return;
+    const hungMs = this.clock.now() - this.hungSince;
+    this.hungSince = undefined;
+    for (const task of this.tasks.values()) task.dueAt += hungMs;
+    if (this.leaseOver) this.beginSession();
+    this.leaseOver = false;
+    this.pass();
+    for (const go of this.sleepers.splice(0)) go();
+  }
+
+  private async awake(): Promise<void> {
+    while (this.hangs) await new Promise<void>((resolve) => this.sleepers.push(resolve));
   }
 
   /** The machine is gone, with all that is on it. */
   die(): void {
-    this.dead = true;
     for (const [shard, task] of this.tasks) if (task.Phase !== 'exited') this.end(shard, 'gone');
+    this.dead = true;
   }
 
-  private end(shard: string, cause: string): void {
-    const task = this.tasks.get(shard)!;
-    task.Phase = 'exited';
-    task.Cause = cause;
-    const run = this.history.findLast((each) => each.shard === shard && each.attempt === task.Try);
-    if (run !== undefined) run.to = this.clock.now();
-    this.onEnd(shard, cause);
+  private get leaseEnd(): number {
+    return this.lastAnswered + this.around.leaseS * 1000;
+  }
+
+  private beginSession(): void {
+    this.tasks.clear();
+    this.tenure++;
+    this.lastAnswered = this.clock.now();
+  }
+
+  /** Sees to it that leases and tasks end at their time, though nobody looks. */
+  private wake(): void {
+    let next = this.leaseOver ? Infinity : this.leaseEnd;
+    if (!this.hangs) for (const task of this.tasks.values()) next = Math.min(next, task.dueAt);
+    if (this.dead || next >= this.wakesAt || next === Infinity) return;
+    this.wakesAt = next;
+    void this.clock.sleep(next - this.clock.now()).then(() => {
+      if (this.wakesAt === next) this.wakesAt = Infinity;
+      this.pass();
+    });
   }
 
+  /** All that is due by now. */
   private pass(): void {
     if (this.dead) return;
     const now = this.clock.now();
-    if (now - this.lastAnswered >= this.options.leaseS * 1000) {
+    if (now >= this.leaseEnd && !this.leaseOver) {
+      // What hangs can't go on any more after this moment, so it has ended too.
       for (const [shard, task] of this.tasks) if (task.Phase !== 'exited') this.end(shard, 'killed');
-      this.tasks.clear();
-      this.tenure++;
-      this.lastAnswered = now;
+      if (this.hangs) this.leaseOver = true;
+      else this.beginSession();
     }
-    for (const [shard, task] of this.tasks) {
-      const { runMs, sick } = this.options;
-      if (task.Phase === 'running' && sick) this.end(shard, 'error');
-      const over = !this.isEndless(shard) && now - task.startedAt >= runMs!;
-      if (task.Phase === 'running' && over) this.end(shard, 'done');
+    if (!this.hangs) {
+      for (const [shard, task] of this.tasks) {
+        if (task.Phase === 'running' && this.options.sick) this.end(shard, 'error');
+        else if (now >= task.dueAt) this.step(shard, task);
+      }
     }
     this.wake();
   }
 
+  private step(shard: string, task: Task): void {
+    if (task.Phase === 'fetching') this.hasImage(shard, task);
+    else if (task.Phase === 'waiting') this.end(shard, 'alone');
+    else if (task.Phase === 'running') this.end(shard, 'done');
+    else if (task.Phase === 'flushing') this.end(shard, 'stopped', true);
+  }
+
+  private hasImage(shard: string, task: Task): void {
+    const job = this.around.describe(refOf(shard))!;
+    this.images.add(job.Bundle);
+    this.history.push({ shard, attempt: task.Try, from: this.clock.now(), to: undefined });
+    this.onStart(shard, task.orderedAt);
+    if (this.around.results.has(shard)) return this.end(shard, 'done');
+    if (job.Shape !== 'ensemble') return this.run(shard);
+    task.Phase = 'waiting';
+    task.dueAt = this.clock.now() + this.around.gangs.waitMs;
+    this.around.gangs.join(this, shard, task.Try, job);
+  }
+
+  /** It runs from now on. How long a gang runs is up to all its members. */
+  run(shard: string): void {
+    const task = this.tasks.get(shard)!;
+    const { Shape } = this.around.describe(refOf(shard))!;
+    task.Phase = 'running';
+    task.dueAt = Shape === 'ensemble' ? Infinity : this.clock.now() + this.runMs(shard);
+    this.wake();
+  }
+
+  runMs(shard: string): number {
+    const { Shape } = this.around.describe(refOf(shard))!;
+    return Shape === 'service' || shard.startsWith('j-svc') ? Infinity : (this.options.runMs ?? Infinity);
+  }
+
+  end(shard: string, cause: string, saved?: boolean): void {
+    const task = this.tasks.get(shard)!;
+    const hadImage = task.Phase !== 'fetching';
+    Object.assign(task, { Phase: 'exited', Cause: cause, Saved: saved, dueAt: Infinity });
+    if (!hadImage) return;
+    const run = this.history.findLast((each) => each.shard === shard && each.attempt === task.Try);
+    if (run !== undefined) run.to = this.clock.now();
+    if (cause === 'done') this.around.results.add(shard);
+    this.onEnd(shard, cause);
+    this.around.gangs.left(shard, task.Try);
+  }
+
   /** Its report as it would send it now. */
   report(): Record<string, unknown> {
     this.pass();
@@ -121,29 +241,65 @@
       Tick: ++this.tick,
       Fence: this.fence,
       WarningS: this.warningS,
-      Shards: [...this.tasks].map(([Shard, { Try, Phase, Cause }]) => ({ Shard, Try, Phase, Cause })),
+      Shards: [...this.tasks].map(([Shard, { Try, Phase, Cause, Saved }]) => ({ Shard, Try, Phase, Cause, Saved })),
     };
   }
 
   private obey(body: Orders, sentAt: number): void {
     for (const order of body.Orders) {
       const task = this.tasks.get(order.Shard);
-      if (order.Verb === 'launch') {
-        if (task?.Try === order.Try) continue;
-        if (task !== undefined && task.Phase !== 'exited') continue;
-        this.tasks.set(order.Shard, { Try: order.Try, Phase: 'running', startedAt: this.clock.now() });
-        this.history.push({ shard: order.Shard, attempt: order.Try, from: this.clock.now(), to: undefined });
-        this.onStart(order.Shard, sentAt);
-      } else if (task?.Try === order.Try) {
-        if (order.Verb === 'kill' && task.Phase !== 'exited') this.end(order.Shard, 'stopped');
+      if (order.Verb === 'launch') this.launch(order, task, sentAt);
+      else if (task?.Try === order.Try) {
+        if (order.Verb === 'kill' && task.Phase !== 'exited') this.stopTask(order, task);
         if (order.Verb === 'forget' && task.Phase === 'exited') this.tasks.delete(order.Shard);
       }
     }
-    this.wake();
+    this.pass();
+  }
+
+  private launch({ Shard, Try }: Order, known: Task | undefined, orderedAt: number): void {
+    if (known?.Try === Try) return;
+    const job = this.around.describe(refOf(Shard));
+    const dueAt = this.clock.now() + (job === undefined || this.images.has(job.Bundle) ? 0 : this.imageMs);
+    const task: Task = { Try, Phase: 'fetching', dueAt, orderedAt };
+    const refusal = this.whyRefused(job, known);
+    if (refusal === 'in_use') return;
+    this.tasks.set(Shard, task);
+    if (refusal !== undefined) this.end(Shard, refusal);
+    else if (dueAt <= this.clock.now()) this.hasImage(Shard, task);
+  }
+
+  private get imageMs(): number {
+    return this.options.imageMs ?? 0;
+  }
+
+  private whyRefused(job: Description | undefined, known: Task | undefined): string | undefined {
+    if (job === undefined) return 'unknown';
+    // Which of the two attempts a report then shows is not told; the one that goes on is the one that matters.
+    if (known !== undefined && known.Phase !== 'exited') return 'in_use';
+    const free = { ...this.room };
+    for (const [shard, task] of this.tasks) {
+      if (task.Phase === 'exited') continue;
+      const other = this.around.describe(refOf(shard))!;
+      for (const amount of ['Cpus', 'Cards', 'MemGb'] as const) free[amount] -= other[amount];
+    }
+    const fits = job.Cpus <= free.Cpus && job.Cards <= free.Cards && job.MemGb <= free.MemGb;
+    return fits ? undefined : 'no_room';
+  }
+
+  private stopTask({ Shard, Try, WindDownS = 0 }: Order, task: Task): void {
+    const { Shape, SnapshotEveryS, SnapshotS } = this.around.describe(refOf(Shard))!;
+    const saves = task.Phase === 'running' && SnapshotEveryS > 0 && WindDownS >= SnapshotS;
+    if (task.Phase === 'flushing' && WindDownS > 0) return;
+    if (!saves) return this.end(Shard, 'stopped');
+    if (Shape === 'ensemble') return this.around.gangs.stop(Shard, Try);
+    task.Phase = 'flushing';
+    task.dueAt = this.clock.now() + SnapshotS * 1000;
   }
 
   /** What `/commands` and `/show` do. */
-  handle(_method: string, path: string, body: unknown, sentAt = this.clock.now()): Reply {
+  async handle(_method: string, path: string, body: unknown, sentAt = this.clock.now()): Promise<Reply> {
+    await this.awake();
     this.pass();
     if (path === '/show') return { status: 200, body: this.report() };
     const orders = body as Orders;
@@ -153,34 +309,40 @@
     return { status: 200, body: this.report() };
   }
 
-  /** Sends one report to a node; `hello` is that node's answer. */
-  async tell(nodes: Map<string, (body: unknown) => Reply | undefined | Promise<Reply | undefined>>): Promise<void> {
-    if (this.telling || this.clock.now() < this.waitsUntil) return;
+  /** Sends one report to a node; `send` brings that node's answer, or undefined if there is none. */
+  async tell(nodes: string[], send: (node: string, report: unknown) => Promise<Reply | undefined>): Promise<void> {
+    if (this.telling || this.hangs || this.clock.now() < this.waitsUntil) return;
     this.telling = true;
-    await this.tellNow(nodes);
+    await this.tellNow(nodes, send);
     this.telling = false;
   }
 
   private async tellNow(
-    nodes: Map<string, (body: unknown) => Reply | undefined | Promise<Reply | undefined>>,
+    nodes: string[],
+    send: (node: string, report: unknown) => Promise<Reply | undefined>,
   ): Promise<void> {
-    const names = [...nodes.keys()];
-    this.at ??= names[0]!;
+    this.at ??= nodes[0]!;
     const sentAt = this.clock.now();
     const report = this.report();
     const tenure = this.tenure;
-    const reply = await nodes.get(this.at)?.(JSON.parse(JSON.stringify(report)));
+    const answer = await send(this.at, report);
+    await this.awake();
+    this.pass();
+    const reply = this.clock.now() - sentAt > ANSWER_MS ? undefined : answer;
     if (reply?.status === 200) {
-      const orders = JSON.parse(JSON.stringify(reply.body)) as Orders;
-      if (orders.Fence < this.fence || tenure !== this.tenure) return;
+      const orders = reply.body as Orders;
+      if (this.dead || orders.Fence < this.fence || tenure !== this.tenure) return;
       this.fence = orders.Fence;
       this.lastAnswered = sentAt;
       this.obey(orders, this.clock.now());
       return;
     }
-    if (reply === undefined) this.waitsUntil = sentAt + 5000;
     const steward = reply?.status === 421 ? (reply.body as { Steward?: string }).Steward : undefined;
-    const next = names[(names.indexOf(this.at) + 1) % names.length]!;
-    this.at = steward !== undefined && steward !== this.at && nodes.has(steward) ? steward : next;
+    if (steward !== undefined && steward !== this.at && nodes.includes(steward)) {
+      this.at = steward;
+      return;
+    }
+    this.at = nodes[(nodes.indexOf(this.at) + 1) % nodes.length]!;
+    this.waitsUntil = this.clock.now() + NEXT_NODE_MS;
   }
 }
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -90,7 +90,7 @@
 
   it('accepted without the node hearing so are known at the retry', async () => {
     await ready();
-    cluster.network.fault({ path: /^\/txn/, kind: 'mute', times: 1 });
+    cluster.network.fault({ path: /^\/txn/, kind: 'answerLost', times: 1 });
     const first = await cluster.submit({ ...service, Shards: 1 });
     assert.ok(first.status === 201 || first.status === 200 || first.status === 503);
     assert.equal((await cluster.submit({ ...service, Shards: 1 })).status, 200);
@@ -224,10 +224,14 @@
 
   it('that are lost while the others wait are replaced under the same attempt', async () => {
     await ready({ teams: [{ name: 'red' }] }, 3);
-    await cluster.submit(gang);
-    const lost = shards.filter((name) => cluster.runs(name)[0]!.host === cluster.runs(shards[0]!)[0]!.host);
+    cluster.workers.get('i-000002')!.options.imageMs = 15_000;
+    await cluster.submit({ ...gang, Cpus: 4 });
+    const waiting = shards.filter((name) => cluster.runs(name).length > 0);
+    assert.equal(waiting.length, 4, 'two fetch their image');
+    const lost = waiting.filter((name) => cluster.runs(name)[0]!.host === cluster.runs(waiting[0]!)[0]!.host);
     cluster.remember();
-    cluster.cut.add(cluster.runs(shards[0]!)[0]!.host);
+    cluster.addWorker({ host: 'i-000009' });
+    cluster.cut.add(cluster.runs(waiting[0]!)[0]!.host);
     await cluster.advance(25_000);
     for (const name of shards) {
       const runs = cluster.runs(name);
@@ -406,7 +410,7 @@
 
   it('are not rented twice when the answer is lost', async () => {
     await ready({}, 0);
-    cluster.network.fault({ to: 'cloud:1', path: /^\/rentals$/, kind: 'mute', times: 1 });
+    cluster.network.fault({ to: 'cloud:1', path: /^\/rentals$/, kind: 'answerLost', times: 1 });
     await cluster.submit({ Shards: 4 });
     await cluster.advance(25_000);
     assert.equal([...cluster.cloud.hires.values()].flat().length, 1);
--- a/test/judge.test.ts
+++ b/test/judge.test.ts
@@ -330,13 +330,13 @@
     const host = cluster.runs('j-svc/0')[0]!.host;
     const other = host === 'i-1' ? second : first;
     const orders = [{ Verb: 'launch', Shard: 'j-svc/0', Try: 9 }];
-    other.handle('POST', '/commands', { Fence: other.fence, Tenure: 1, Orders: orders });
+    await other.handle('POST', '/commands', { Fence: other.fence, Tenure: 1, Orders: orders });
     assert.deepEqual(
       cluster.judge.broken.map((each) => each.rule),
       ['ran_twice'],
     );
     await cluster.withdraw('j-svc');
-    other.handle('POST', '/commands', { Fence: other.fence, Tenure: 1, Orders: [{ ...orders[0], Try: 10 }] });
+    await other.handle('POST', '/commands', { Fence: other.fence, Tenure: 1, Orders: [{ ...orders[0], Try: 10 }] });
     assert.deepEqual(
       cluster.judge.broken.map((each) => each.rule),
       ['ran_twice', 'started_cancelled'],
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -31,7 +31,7 @@
     const host = where('j-svc/0');
     cluster.remember();
     const since = cluster.clock.now();
-    cluster.mute.add(host);
+    cluster.deaf.add(host);
     await cluster.advance(12_000);
     for (const node of [0, 1, 2]) assert.equal(isOpen(node, host), false);
     await cluster.advance(8000);
@@ -44,9 +44,9 @@
 
   it('is open again as soon as it is reached', async () => {
     await ready(3, 2);
-    cluster.mute.add('i-000000');
+    cluster.deaf.add('i-000000');
     await cluster.advance(2000);
-    cluster.mute.delete('i-000000');
+    cluster.deaf.delete('i-000000');
     await cluster.advance(7000);
     assert.ok(isOpen(ownerOf('i-000000'), 'i-000000'));
     assert.deepEqual(cluster.cloud.returned, []);
