--- a/test/meetings-workers.test.ts
+++ b/test/meetings-workers.test.ts
@@ -83,7 +83,7 @@
     const since = cluster.clock.now();
     muzzle(host);
     // The kill arrives, its answer does not: nobody knows that the task has gone.
-    cluster.network.fault({ to: `${host}:9000`, kind: 'mute' });
+    cluster.network.fault({ to: `${host}:9000`, kind: 'answerLost' });
     await cluster.advance(1000);
     await cluster.submit({ ...service, Ref: 'j-svc2' });
     assert.equal(phase(await cluster.withdraw('j-svc', 1)), 'withdrawn');
