A gang is done though a loss was recorded first; it begins anew under a new attempt

Jobs of two or three tasks end far apart across a change of leader. Three faults, each shown by its story before it was mended: a gang whose member was recorded lost before another's end was recorded waited for ever; one that had lost a member while it waited took the next loss, while it ran, for the same, and began again under the attempt that had ended; one that ran took a member behind a cut for one that still waits, and began again under the same attempt.

--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -165,24 +165,27 @@
     // Members that are on their machines but have not started yet wait for a replacement under the same attempt.
     let highest = 0;
     let placed: number | undefined;
+    let heardAt = Infinity;
     for (const [, slot] of view.known()) {
       if (slot.kind === 'done') return undefined;
       highest = Math.max(highest, slot.attempt);
       if (slot.kind === 'placed') {
         if (slot.stop !== null || (placed !== undefined && placed !== slot.attempt)) return undefined;
         placed = slot.attempt;
+        heardAt = Math.min(heardAt, this.fleet.get(slot.host)?.heardAt ?? -Infinity);
       }
     }
     if (placed === undefined) {
       this.brokenGangs.delete(view.ref);
       return highest + 1;
     }
-    // Had it started, the others notice the loss and exit; only if they stay were they still waiting.
+    // Had it started, the others notice the loss and exit; only if they are seen to stay were they still waiting.
     const now = this.clock.now();
     const since = this.brokenGangs.get(view.ref) ?? now;
     this.brokenGangs.set(view.ref, since);
     const { gang_peer_s, report_s } = this.settings.cluster.workers;
-    return now - since > (gang_peer_s + 3 * report_s) * 1000 ? placed : undefined;
+    const noticedAt = since + (gang_peer_s + report_s) * 1000;
+    return heardAt > noticedAt && now - since > (gang_peer_s + 3 * report_s) * 1000 ? placed : undefined;
   }
 
   private candidates(): Candidate[] {
@@ -191,6 +194,8 @@
     const now = this.clock.wall();
     for (const view of this.book.jobs.values()) {
       const { spec, phase } = view.record;
+      // A gang that is whole again has forgotten its last loss: the next one is told from it.
+      if (view.done + view.placed === spec.Shards) this.brokenGangs.delete(view.ref);
       if (phase !== 'active' || view.done + view.placed === spec.Shards) continue;
       const team = this.teams.get(spec.Owner);
       if (team === undefined) continue;
@@ -386,6 +391,7 @@
   private round(): void {
     const began = this.clock.now();
     for (const [name, failure] of this.failures) if (began > failure.until + RETRY_MAX_MS) this.failures.delete(name);
+    for (const ref of this.brokenGangs.keys()) if (!this.book.jobs.has(ref)) this.brokenGangs.delete(ref);
     this.plan();
     const now = this.clock.now();
     // Changes come by the dozen a second: a plan that takes long is made more rarely, and takes them together.
--- a/src/ledger/book.ts
+++ b/src/ledger/book.ts
@@ -73,8 +73,10 @@
     return zonesOf(Spread || OneZone ? [...this.known()].map(([, slot]) => slot) : []);
   }
 
+  /** A gang completes together: what was lost before the others' end was recorded has ended with them. */
   get complete(): boolean {
-    return this.done === this.record.spec.Shards;
+    const { Shape, Shards } = this.record.spec;
+    return this.done === Shards || (Shape === 'ensemble' && this.done > 0 && this.placed === 0);
   }
 }
 
--- a/src/ledger/edits.ts
+++ b/src/ledger/edits.ts
@@ -144,11 +144,14 @@
   const job = readJob(draft, ref);
   if (job === undefined) return false;
   const keys = Array.from({ length: chunkCount(job) }, (_, index) => chunkKey(ref, index));
-  for (const [index, key] of keys.entries()) {
-    for (const slot of decodeChunk(draft.peek(key), chunkSize(job, index))) {
-      if (slot.kind === 'placed' || (slot.kind === 'queued' && job.phase === 'active')) return false;
-    }
-  }
+  const slots = keys.flatMap((key, index) => decodeChunk(draft.peek(key), chunkSize(job, index)));
+  if (slots.some(({ kind }) => kind === 'placed')) return false;
+  // A gang completes together. Its ledger fits one transaction, so all of it is compared here.
+  const isDone =
+    job.spec.Shape === 'ensemble'
+      ? slots.some(({ kind }) => kind === 'done')
+      : slots.every(({ kind }) => kind === 'done');
+  if (job.phase === 'active' && !isDone) return false;
   if (job.spec.Shape === 'service' && job.phase === 'active') return false;
   const ended: EndedRecord = { phase: job.phase === 'withdrawn' ? 'withdrawn' : 'done', shards: job.spec.Shards };
   draft.set(endedKey(ref), ended);
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -237,6 +237,11 @@
     this.nodes.get(`n${index}`)?.freezer.traps.push(trap);
   }
 
+  /** Is the node up? */
+  has(index: number): boolean {
+    return this.nodes.has(`n${index}`);
+  }
+
   node(index: number): Controller {
     return this.nodes.get(`n${index}`)!.controller;
   }
--- a/src/testing/fake-network.ts
+++ b/src/testing/fake-network.ts
@@ -17,6 +17,8 @@
   from?: string;
   to?: string;
   path?: RegExp;
+  /** Which requests, by their body. */
+  where?: (body: unknown) => boolean;
   /**
    * refuse: never connected. lose: nothing arrives, no answer. answerLost: it arrives, the answer is lost.
    * hold: it arrives when released, in order, and the answer too if somebody still waits for it.
@@ -104,7 +106,7 @@
 
   /** Carries a message that has no answer, at once unless a fault is in the way. */
   post(from: string, to: string, deliver: () => void): void {
-    const fault = this.match(from, to, '');
+    const fault = this.match(from, to, '', undefined);
     if (fault === undefined) deliver();
     else if (fault.kind === 'hold') this.held.push({ fault, go: deliver });
     else if (fault.kind === 'late') void this.clock.sleep(this.lateness(fault)).then(deliver);
@@ -114,12 +116,13 @@
     return least + this.random.float() * (most - least);
   }
 
-  private match(from: string, to: string, path: string): Fault | undefined {
+  private match(from: string, to: string, path: string, body: unknown): Fault | undefined {
     const found = this.faults.find(
       (fault) =>
         (fault.from === undefined || fault.from === from) &&
         (fault.to === undefined || fault.to === to) &&
         (fault.path === undefined || fault.path.test(path)) &&
+        (fault.where === undefined || fault.where(body)) &&
         (fault.share === undefined || this.random.float() < fault.share),
     );
     if (found?.times !== undefined && --found.times === 0) this.faults = this.faults.filter((each) => each !== found);
@@ -138,6 +141,7 @@
       (fault) =>
         (fault.kind === 'lose' || fault.kind === 'hold') &&
         fault.share === undefined &&
+        fault.where === undefined &&
         (fault.from === undefined || fault.from === from) &&
         (fault.to === undefined || fault.to === to) &&
         (fault.path === undefined || fault.path.test(path)),
@@ -159,7 +163,7 @@
   ): Promise<Reply> {
     const sender: Sender = { from, at: this.clock.now() };
     const copy: unknown = body === undefined ? undefined : JSON.parse(JSON.stringify(body));
-    const fault = this.match(from, to, path);
+    const fault = this.match(from, to, path, copy);
     const what = `${method} ${to}${path}`;
     if (!this.handlers.has(to) || fault?.kind === 'refuse') throw new NoAnswer(`${what}: refused`, false);
     if (fault?.kind === 'status') return { status: fault.status!, body: fault.body ?? {} };
--- /dev/null
+++ b/test/meetings-leaders.test.ts
@@ -0,0 +1,151 @@
+import assert from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+import { Cluster, type ClusterOptions } from '../src/testing/cluster.js';
+
+let cluster: Cluster;
+afterEach(() => cluster.stop());
+
+const NODES = [0, 1, 2];
+const red = { teams: [{ name: 'red' }] };
+const service = { Ref: 'j-svc', Shape: 'service', Rank: 'prod', GuessS: 0, Shards: 1 };
+/** Their tasks fill a machine each. */
+const gang = { Ref: 'j-gang', Shape: 'ensemble', Rank: 'high', Shards: 2, Cpus: 8 };
+
+async function ready(machines: number, options: ClusterOptions = {}, runMs = 5000): Promise<void> {
+  cluster = new Cluster({ nodes: 3, ...options });
+  for (let index = 0; index < machines; index++) {
+    cluster.addWorker({ host: `i-00000${index}`, site: ['a', 'b', 'c'][index % 3]!, runMs });
+  }
+  await cluster.advance(5000);
+}
+
+const someNode = () => NODES.map((node) => cluster.has(node)).indexOf(true);
+const roleOf = (host: string) => cluster.node(someNode()).owner.roleOf(host);
+/** The node that holds a role, as the others see it. */
+const holder = (role: string) => Number(cluster.node(someNode()).claims.ownerOf(role)?.slice(1));
+const body = (answer: { body: unknown }) => answer.body as { Phase: string; done: number };
+const phase = async (ref: string, node = 0) => body(await cluster.poll(ref, node)).Phase;
+const cloudDown = () =>
+  cluster.network.fault({ to: 'cloud:1', kind: 'status', status: 503, body: { error: 'trouble' } });
+
+/** Every host whose machine is of the role's part, of so many names. */
+function hostsOf(role: string, count: number): string[] {
+  const hosts = Array.from({ length: 60 }, (_, n) => `i-${String(n + 10).padStart(6, '0')}`);
+  return hosts.filter((host) => roleOf(host) === role).slice(0, count);
+}
+
+void [service, cloudDown, hostsOf];
+
+function assertKept(): void {
+  assert.deepEqual(cluster.verdict(), []);
+}
+
+describe('jobs of two or three tasks that end far apart', () => {
+  it('are done when the last has ended, and not before, though the leader and the owners change in between', async () => {
+    await ready(0, red);
+    for (const [n, runMs] of [4000, 16_000, 30_000].entries()) {
+      cluster.addWorker({ host: `i-00000${n}`, site: ['a', 'b', 'c'][n]!, runMs });
+    }
+    await cluster.advance(4000);
+    await cluster.submit({ Ref: 'j-three', Shards: 3, Cpus: 8 });
+    // One after the other, on the only machine of its zone, which for a while takes no new work.
+    for (const site of ['a', 'b', 'c']) cluster.cloud.full.add(site);
+    await cluster.submit({ Ref: 'j-next', Shards: 3, Cpus: 8, Site: 'a' });
+    cluster.remember();
+    for (let round = 0; round < 9; round++) {
+      const leader = holder('leader');
+      const { warningS } = cluster.workers.get('i-000000')!;
+      if (cluster.runs('j-next/0').length === 1)
+        cluster.workers.get('i-000000')!.warningS = warningS === null ? 60 : null;
+      cluster.crash(leader);
+      await cluster.poll('j-three', (leader + 1) % 3);
+      cluster.start(leader);
+      await cluster.advance(1500);
+      await cluster.poll('j-three', leader);
+      await cluster.poll('j-next', leader);
+    }
+    assert.equal(await phase('j-three'), 'done');
+    await cluster.advance(20_000);
+    assert.equal(await phase('j-next'), 'done');
+    for (const shard of [0, 1, 2]) assert.equal(cluster.runs(`j-three/${shard}`).length, 1);
+    assertKept();
+  });
+
+  it('of a gang are done though the loss of one machine was recorded before the end of the other task', async () => {
+    await ready(0, red);
+    const leader = holder('leader');
+    const owner = NODES.find((node) => node !== leader && holder(`part-${node}`) === node)!;
+    for (const role of [`part-${leader}`, `part-${owner}`]) {
+      cluster.addWorker({ host: hostsOf(role, 1)[0]!, runMs: 20_000 });
+    }
+    await cluster.advance(3000);
+    await cluster.submit(gang);
+    const runs = [...cluster.runs('j-gang/0'), ...cluster.runs('j-gang/1')];
+    const [kept, lost] = [`part-${owner}`, `part-${leader}`].map((role) =>
+      runs.find((run) => roleOf(run.host) === role),
+    );
+    await cluster.advance(kept!.from + 19_800 - cluster.clock.now());
+    // Both end. One machine dies before it can say so; the other's owner gets no answers from the store for a while.
+    cluster.remember();
+    cluster.cut.add(lost!.host);
+    const heal = cluster.network.fault({
+      from: `n${owner}`,
+      path: /^\/txn/,
+      where: (txn) => JSON.stringify(txn).includes('j-gang'),
+      kind: 'lose',
+    });
+    await cluster.advance(20_000);
+    heal();
+    await cluster.advance(5000);
+    assert.ok(cluster.cloud.returned.includes(lost!.host));
+    cluster.judge.troublesOver(cluster.clock.now());
+    assert.equal(await phase('j-gang'), 'done');
+    assertKept();
+  });
+
+  it('of a gang that lost a member twice, waiting and running, begin the next time under a new attempt', async () => {
+    await ready(3, red, 600_000);
+    // Both wait for their images, so that neither has started when one machine is lost.
+    for (const worker of cluster.workers.values()) worker.options.imageMs = 20_000;
+    await cluster.submit(gang);
+    const [lost] = [...cluster.workers].find(([, worker]) => worker.tasks.has('j-gang/1'))!;
+    cluster.remember();
+    cluster.cut.add(lost);
+    await cluster.advance(45_000);
+    const [again] = cluster.runs('j-gang/1');
+    assert.notEqual(again!.host, lost);
+    assert.equal(again!.attempt, 1, 'the other was still waiting for it');
+    cluster.addWorker({ host: 'i-000007', runMs: 600_000 });
+    cluster.addWorker({ host: 'i-000008', runMs: 600_000 });
+    await cluster.advance(5000);
+    cluster.workers.get(again!.host)!.end('j-gang/1', 'error');
+    // The other notices, and exits as well.
+    await cluster.advance(23_000);
+    const attempts = (shard: number) => cluster.runs(`j-gang/${shard}`).map((run) => run.attempt);
+    assert.deepEqual(
+      [attempts(0), attempts(1)],
+      [
+        [1, 2],
+        [1, 2],
+      ],
+    );
+    assertKept();
+  });
+
+  it('of a gang that ran begin anew only once a member behind a cut is proved gone', async () => {
+    await ready(4, red, 600_000);
+    await cluster.submit(gang);
+    cloudDown();
+    const [here] = cluster.runs('j-gang/0');
+    cluster.cut.add(cluster.runs('j-gang/1')[0]!.host);
+    await cluster.advance(4000);
+    cluster.workers.get(here!.host)!.end('j-gang/0', 'peers');
+    cluster.crash(holder('leader'));
+    await cluster.advance(60_000);
+    assert.deepEqual(
+      cluster.runs('j-gang/0').map((run) => run.attempt),
+      [1, 2],
+    );
+    assertKept();
+  });
+});
