--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -13,6 +13,7 @@
 import { FakeGangs } from './fake-gangs.js';
 import { FakeNetwork, type Fault } from './fake-network.js';
 import { FakeStore } from './fake-store.js';
+import { FakeUsers } from './fake-users.js';
 import { ANSWER_MS, FakeWorker, type Description, type Room, type WorkerOptions } from './fake-worker.js';
 import { Judge, type UserAnswer } from './judge.js';
 
@@ -167,6 +168,8 @@
   readonly parted = new Set<string>();
   /** Of that share of the workers' reports a copy arrives again later, at the same node. */
   lateReports: { share: number; lateMs: [number, number] } | undefined;
+  /** Users who repeat what fails and go on asking; they act when a story tells them to. */
+  readonly users: FakeUsers;
   private readonly jobs = new Map<string, Description>();
   private readonly results = new Set<string>();
   private readonly gangs: FakeGangs;
@@ -183,8 +186,22 @@
     this.judge = new Judge({ teams, flavors, cancelS: workers.cancel_s });
     this.cloud = new FakeCloud(flavors);
     this.cloud.onReturn = (host) => this.kill(host);
-    this.network.serve('store:1', (method, path, body, { from }) => this.store.handle(method, path, body, from));
+    this.network.serve('store:1', (method, path, body, { from, late }) =>
+      // What comes late had reached the store before it began to refuse its sender.
+      this.store.handle(method, path, body, late === true ? undefined : from),
+    );
     this.network.serve('cloud:1', (method, path, body) => this.cloud.handle(method, path, body));
+    this.users = new FakeUsers(
+      {
+        nodes: options.nodes ?? 1,
+        isHealthy: (index) => this.nodes.get(`n${index}`)?.controller.up().status === 200,
+        post: (body, node) => this.post(body, node),
+        ask: (ref, node) => this.ask(ref, node),
+        cancel: (ref, node) => this.cancel(ref, node),
+      },
+      this.clock,
+      this.random,
+    );
     this.network.weather = (from, to) => this.weather(from, to.split(':')[0]!);
     for (let index = 0; index < (options.nodes ?? 1); index++) this.start(index);
     void this.tick();
@@ -227,6 +244,18 @@
     this.network.unserve(`n${index}:8080`);
   }
 
+  /**
+   * Ends a node after a while and starts it again at once. What it sends to the store and to workers in that while gets no
+   * answer and arrives late, when the new process is up.
+   */
+  async restart(index: number, sendingMs = 0, lateMs: [number, number] = [500, 5000]): Promise<void> {
+    const heal = this.network.fault({ from: `n${index}`, path: /^\/(txn|commands)/, kind: 'late', lateMs });
+    await this.clock.sleep(sendingMs);
+    heal();
+    this.crash(index);
+    this.start(index);
+  }
+
   /** A node stands still for a while, whatever it is doing, and then goes on as if nothing had been. */
   freeze(index: number, forMs: number): void {
     this.nodes.get(`n${index}`)?.freezer.freeze(forMs);
@@ -357,20 +386,17 @@
     call: (controller: Controller) => Promise<Answer>,
   ): Promise<Answer> {
     const askedAt = this.clock.now();
-    const none: Answer = { status: 0, body: undefined };
     const node = this.nodes.get(`n${index}`);
-    const waiting = new AbortController();
-    const patience = this.clock.sleep(kind === 'poll' ? POLL_PATIENCE_MS : REQUEST_PATIENCE_MS, waiting.signal);
-    const answer =
-      node === undefined
-        ? none
-        : await Promise.race([
-            node.freezer.serve(kind, () => call(node.controller)),
-            patience.then((): Answer => none),
-          ]);
-    waiting.abort();
-    // A node that has ended in the meantime has told nobody anything.
-    const told = node?.stop.signal.aborted ? none : answer;
+    const patienceMs = kind === 'poll' ? POLL_PATIENCE_MS : REQUEST_PATIENCE_MS;
+    const { freezer, stop, controller } = node ?? {};
+    const told = await new Promise<Answer>((resolve) => {
+      const none: Answer = { status: 0, body: undefined };
+      // A node that ends in the meantime has told nobody anything.
+      if (controller === undefined) return resolve(none);
+      stop!.signal.addEventListener('abort', () => resolve(none));
+      this.clock.after(patienceMs, () => resolve(none));
+      void freezer!.serve(kind, () => call(controller)).then(resolve);
+    });
     this.judge.answered({ kind, ref, askedAt, at: this.clock.now(), status: told.status, body: told.body });
     return told;
   }
--- a/src/testing/fake-store.ts
+++ b/src/testing/fake-store.ts
@@ -25,6 +25,8 @@
   epoch = 0;
   /** While set, every request gets 503. */
   out = false;
+  /** Every request takes that long: half of it before it is carried out, half after. Watches and holds too. */
+  slowMs = 0;
   /** Nodes whose every request gets 503 while the others are served; their open watches wait, as in an outage. */
   readonly refused = new Set<string>();
 
@@ -41,6 +43,14 @@
   }
 
   async handle(method: string, path: string, body: unknown, from?: string): Promise<Reply> {
+    if (this.slowMs === 0) return this.carryOut(method, path, body, from);
+    await this.clock.sleep(this.slowMs / 2);
+    const reply = await this.carryOut(method, path, body, from);
+    await this.clock.sleep(this.slowMs / 2);
+    return reply;
+  }
+
+  private async carryOut(method: string, path: string, body: unknown, from: string | undefined): Promise<Reply> {
     if (this.isOutFor(from)) return { status: 503, body: { error: 'unavailable' } };
     this.expire();
     const url = new URL(path, 'http://store');
--- /dev/null
+++ b/src/testing/fake-users.ts
@@ -0,0 +1,100 @@
+import type { Answer } from '../api/jobs.js';
+import type { Random } from '../net/random.js';
+import type { FakeClock } from './fake-clock.js';
+
+/** ms for which a user repeats a request, and between two questions about a job. */
+const RETRY_MS = 60_000;
+const POLL_MS = 5000;
+/** ms between two looks at a job that is over. */
+const LATER_MS = 20_000;
+
+/** The requests of a cluster that users send to a node. */
+export interface Service {
+  nodes: number;
+  isHealthy(node: number): boolean;
+  post(body: unknown, node: number): Promise<Answer>;
+  ask(ref: string, node: number): Promise<Answer>;
+  cancel(ref: string, node: number): Promise<Answer>;
+}
+
+/** Users as the protocol describes them: they repeat what fails, go on asking, and some ask for odd things. */
+export class FakeUsers {
+  /** Jobs that were accepted, with what was submitted and what was last heard. */
+  readonly jobs = new Map<string, { body: object; phase: string }>();
+
+  constructor(
+    private readonly service: Service,
+    private readonly clock: FakeClock,
+    private readonly random: Random,
+  ) {}
+
+  /** What the load balancer does: any node that is healthy. */
+  private anyNode(): number {
+    const all = Array.from({ length: this.service.nodes }, (_, node) => node);
+    const healthy = all.filter((node) => this.service.isHealthy(node));
+    const choice = healthy.length > 0 ? healthy : all;
+    return choice[this.random.below(choice.length)]!;
+  }
+
+  private async repeat(request: (node: number) => Promise<Answer>): Promise<Answer> {
+    const end = this.clock.now() + RETRY_MS;
+    for (;;) {
+      const answer = await request(this.anyNode());
+      if ([200, 201, 400, 404, 422].includes(answer.status) || this.clock.now() > end) return answer;
+      await this.clock.sleep(Math.max(1, Math.min(30, answer.retryAfter ?? 0)) * 1000);
+    }
+  }
+
+  /** Submits a job until that is decided, and then asks about it for ever. */
+  async submit(body: object): Promise<Answer> {
+    const answer = await this.repeat((node) => this.service.post(body, node));
+    const { Ref } = body as { Ref: string };
+    if (answer.status > 201 || answer.status === 0 || this.jobs.has(Ref)) return answer;
+    this.jobs.set(Ref, { body, phase: 'queued' });
+    void this.follow(Ref);
+    return answer;
+  }
+
+  async withdraw(ref: string): Promise<Answer> {
+    const answer = await this.repeat((node) => this.service.cancel(ref, node));
+    this.note(ref, answer);
+    return answer;
+  }
+
+  private note(ref: string, answer: Answer): void {
+    const job = this.jobs.get(ref);
+    if (job !== undefined && answer.status === 200) job.phase = (answer.body as { Phase: string }).Phase;
+  }
+
+  private async follow(ref: string): Promise<void> {
+    const job = this.jobs.get(ref)!;
+    for (;;) {
+      const isOver = job.phase === 'done' || job.phase === 'withdrawn';
+      await this.clock.sleep(this.random.jitter(isOver ? LATER_MS : POLL_MS));
+      this.note(ref, await this.service.ask(ref, this.anyNode()));
+    }
+  }
+
+  /**
+   * Odd requests, one after the other: submissions of unfinished jobs are repeated, also malformed; jobs that are done are
+   * cancelled; jobs come that fit no machine or lack a field; and somebody asks about a job that nobody knows.
+   */
+  async askOddThings(): Promise<Answer[]> {
+    const answers: Answer[] = [];
+    const one = async (request: (node: number) => Promise<Answer>) => answers.push(await request(this.anyNode()));
+    for (const [ref, { body, phase }] of this.jobs) {
+      if (phase === 'done') await one((node) => this.service.cancel(ref, node));
+      if (phase === 'done' || phase === 'withdrawn') continue;
+      await one((node) => this.service.post(body, node));
+      await one((node) => this.service.post({ ...body, Cpus: 1e9, MemGb: null }, node));
+    }
+    const [first] = this.jobs.values();
+    if (first === undefined) return answers;
+    const odd = (n: number, fields: object) => ({ ...first.body, Ref: `j-odd${n}-${this.clock.now()}`, ...fields });
+    const bodies = [{ Cpus: 1e6 }, { Owner: 'nobody' }, { Shards: undefined }, { Rank: 'odd' }, { Cards: -1 }];
+    for (const [n, fields] of bodies.entries()) await one((node) => this.service.post(odd(n, fields), node));
+    await one((node) => this.service.post([], node));
+    await one((node) => this.service.ask(`j-nobody-${this.clock.now()}`, node));
+    return answers;
+  }
+}
--- /dev/null
+++ b/test/standins.test.ts
@@ -0,0 +1,359 @@
+import assert from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+import { NoAnswer, type Reply } from '../src/net/http-client.js';
+import { Cluster, jobOf, type ClusterOptions } from '../src/testing/cluster.js';
+import { FakeClock } from '../src/testing/fake-clock.js';
+import { FakeNetwork } from '../src/testing/fake-network.js';
+import { FakeStore } from '../src/testing/fake-store.js';
+
+let cluster: Cluster;
+afterEach(() => cluster?.stop());
+
+function ready(options: ClusterOptions = {}, machines = 1, runMs = 5000): Cluster {
+  cluster = new Cluster(options);
+  for (let n = 0; n < machines; n++) cluster.addWorker({ host: `i-${n}`, site: ['a', 'b', 'c'][n % 3]!, runMs });
+  return cluster;
+}
+
+/** Workers alone: no controller interferes, and a test gives the commands. */
+function alone(machines = 1, runMs = 5000, lease_s = 10): Cluster {
+  const workers = { report_s: 1, lease_s, gang_wait_s: 30, gang_peer_s: 4, cancel_s: 70 };
+  ready({ cluster: { workers } }, machines, runMs);
+  cluster.crash(0);
+  return cluster;
+}
+
+const worker = (n: number) => cluster.workers.get(`i-${n}`)!;
+const launch = (n: number, shard: string, attempt = 1) => command(n, { Verb: 'launch', Shard: shard, Try: attempt });
+const command = (n: number, order: object, tenure = worker(n).tenure) =>
+  cluster.network
+    .client('test')
+    .call(`i-${n}:9000`, 'POST', '/commands', { Fence: 5, Tenure: tenure, Orders: [order] }, { timeoutMs: 1500 })
+    .catch(() => undefined);
+const phase = (n: number, shard: string) => {
+  const task = worker(n).tasks.get(shard);
+  return task === undefined ? undefined : task.Phase === 'exited' ? task.Cause : task.Phase;
+};
+
+describe('a machine that hangs', () => {
+  it('executes neither tasks nor commands, and goes on with both where it stopped', async () => {
+    alone(1, 5000, 60);
+    void cluster.post(jobOf({ Shards: 2 }));
+    void launch(0, 'j-000001/0');
+    await cluster.advance(2000);
+    worker(0).hang();
+    const answer = launch(0, 'j-000001/1');
+    await cluster.advance(5000);
+    assert.equal(await answer, undefined);
+    assert.equal(phase(0, 'j-000001/0'), 'running', 'three seconds are left');
+    assert.equal(phase(0, 'j-000001/1'), undefined);
+    worker(0).goOn();
+    await cluster.advance(2000);
+    assert.equal(phase(0, 'j-000001/0'), 'running');
+    assert.equal(phase(0, 'j-000001/1'), 'running', 'the command had reached it');
+    await cluster.advance(1001);
+    assert.equal(phase(0, 'j-000001/0'), 'done');
+  });
+
+  it('beyond its lease begins a new session at once when it goes on, and drops commands of the old one', async () => {
+    alone();
+    void cluster.post(jobOf({ Shards: 2 }));
+    void launch(0, 'j-000001/0');
+    await cluster.advance(1000);
+    worker(0).hang();
+    void launch(0, 'j-000001/1');
+    await cluster.advance(15_000);
+    assert.equal(worker(0).tenure, 1);
+    // It can't go on with it after the lease, so from then on it is on no machine.
+    assert.equal(worker(0).history[0]!.to! - worker(0).lastAnswered, 10_000);
+    worker(0).goOn();
+    await cluster.advance(10);
+    assert.equal(worker(0).tenure, 2);
+    assert.equal(worker(0).tasks.size, 0);
+    assert.equal(worker(0).history.length, 1);
+  });
+});
+
+describe('a mute machine', () => {
+  it('reaches no controller, while direct commands reach it and are answered', async () => {
+    ready();
+    await cluster.advance(3000);
+    cluster.mute.add('i-0');
+    const { lastAnswered } = worker(0);
+    void cluster.post(jobOf({}));
+    const fence = { Fence: worker(0).fence, Tenure: 1, Orders: [{ Verb: 'launch', Shard: 'j-000001/0', Try: 7 }] };
+    const answer = cluster.network.client('n0').call('i-0:9000', 'POST', '/commands', fence, { timeoutMs: 1500 });
+    await cluster.advance(3000);
+    assert.equal((await answer).status, 200);
+    assert.equal(worker(0).history.length, 1);
+    assert.ok(worker(0).lastAnswered <= lastAnswered + 500);
+  });
+});
+
+describe('a deaf machine', () => {
+  it('is heard, but hears neither answers nor commands, until its lease is over', async () => {
+    ready();
+    await cluster.advance(3000);
+    cluster.deaf.add('i-0');
+    assert.equal(await cluster.during(launch(0, 'j-000001/0')), undefined);
+    const sessions = () =>
+      cluster.network.log.filter((each) => each.from === 'i-0').map((each) => each.body as { Tenure: number });
+    assert.ok(!sessions().some(({ Tenure }) => Tenure === 2));
+    await cluster.advance(9000);
+    assert.ok(sessions().some(({ Tenure }) => Tenure === 2));
+    assert.equal(cluster.runs('j-000001/0').length, 0);
+  });
+});
+
+describe('copies of reports', () => {
+  it('come later than newer reports, also from a session that is over', async () => {
+    ready();
+    const heard: { Tenure: number; Tick: number }[] = [];
+    cluster.lateReports = { share: 0.5, lateMs: [2000, 25_000] };
+    const controller = cluster.node(0);
+    const hello = controller.hello.bind(controller);
+    controller.hello = (body) => (heard.push(body as { Tenure: number; Tick: number }), hello(body));
+    await cluster.advance(3000);
+    cluster.network.fault({ to: 'cloud:1', kind: 'status', status: 503 });
+    cluster.unreachable.add('i-0>n0');
+    await cluster.advance(11_000);
+    cluster.unreachable.clear();
+    await cluster.advance(20_000);
+    const late = heard.filter((each, at) => heard.slice(0, at).some((other) => other.Tick > each.Tick));
+    assert.ok(late.length > 5);
+    assert.ok(late.some((each) => each.Tenure === 1 && heard.indexOf(each) > heard.findIndex((it) => it.Tenure === 2)));
+  });
+});
+
+describe('transactions without an answer', () => {
+  it('are carried out later, after newer ones, also once the store refuses their sender', async () => {
+    const clock = new FakeClock();
+    const network = new FakeNetwork(clock);
+    const store = new FakeStore(clock);
+    network.serve('store:1', (method, path, body, { from, late }) =>
+      store.handle(method, path, body, late === true ? undefined : from),
+    );
+    const set = (V: number) =>
+      network.client('n0').call('store:1', 'POST', '/txn', { Apply: [{ Set: 'k', V }] }, { timeoutMs: 1500 });
+    network.fault({ path: /^\/txn/, kind: 'late', lateMs: [2000, 12_000], times: 1 });
+    const first = set(1).then(
+      () => 'answered',
+      (error: NoAnswer) => error.sent,
+    );
+    const second = set(2);
+    await clock.advance(1600);
+    assert.equal(await first, true);
+    assert.equal((await second).status, 200);
+    assert.equal(store.rows.get('k')!.value, 2);
+    store.refused.add('n0');
+    await clock.advance(11_000);
+    assert.equal(store.rows.get('k')!.value, 1);
+  });
+});
+
+describe('a slow store', () => {
+  it('carries a request out in the middle of the time that it takes', async () => {
+    const clock = new FakeClock();
+    const store = new FakeStore(clock);
+    store.slowMs = 800;
+    let answer: Reply | undefined;
+    void store.handle('POST', '/txn', { Apply: [{ Set: 'k', V: 1 }] }).then((reply) => (answer = reply));
+    await clock.advance(390);
+    assert.equal(store.rows.size, 0);
+    await clock.advance(20);
+    assert.equal(store.rows.size, 1);
+    assert.equal(answer, undefined);
+    await clock.advance(400);
+    assert.equal(answer!.status, 200);
+  });
+});
+
+describe('a cut that holds messages', () => {
+  it('delivers them in order when it ends, though their senders have given up', async () => {
+    const clock = new FakeClock();
+    const network = new FakeNetwork(clock);
+    const got: unknown[] = [];
+    network.serve('b:1', (_method, _path, body) => {
+      got.push(body);
+      return { status: 200, body: {} };
+    });
+    const heal = network.split(['a']);
+    const call = (n: number) =>
+      network
+        .client('a')
+        .call('b:1', 'POST', '/x', n, { timeoutMs: 1500 })
+        .then(
+          ({ status }) => status,
+          () => 0,
+        );
+    const early = call(1);
+    await clock.advance(2000);
+    const late = call(2);
+    await clock.advance(500);
+    assert.deepEqual(got, []);
+    heal();
+    await clock.advance(10);
+    assert.deepEqual(got, [1, 2]);
+    assert.equal(await early, 0);
+    assert.equal(await late, 200, 'this one was still waited for');
+  });
+});
+
+describe('a controller that stands still', () => {
+  it('in the middle of a command sends it when it goes on', async () => {
+    ready();
+    await cluster.advance(4000);
+    cluster.freezeAt(0, { path: /^\/commands/, when: 'sending', forMs: 4000 });
+    void cluster.post(jobOf({}));
+    await cluster.advance(3500);
+    assert.equal(cluster.runs('j-000001/0').length, 0);
+    await cluster.advance(3500);
+    assert.equal(cluster.runs('j-000001/0').length, 1);
+  });
+
+  it('in the middle of an answer to a user gives it late: the user has gone', async () => {
+    ready();
+    await cluster.advance(4000);
+    cluster.freezeAt(0, { path: /submit/, when: 'answering', forMs: 8000 });
+    assert.equal((await cluster.submit({})).status, 0);
+    await cluster.advance(6000);
+    assert.equal((await cluster.submit({})).status, 200, 'it had been accepted');
+  });
+
+  it('and one that has just been answered takes the answer in when it goes on', async () => {
+    ready();
+    await cluster.advance(4000);
+    cluster.freezeAt(0, { path: /^\/txn/, when: 'answered', forMs: 3000 });
+    const answer = cluster.post(jobOf({}));
+    await cluster.advance(2900);
+    assert.ok(cluster.store.rows.has('live/job/j-000001'));
+    await cluster.advance(2000);
+    assert.equal((await answer).status, 201);
+  });
+});
+
+describe('a controller that restarts at once', () => {
+  it('finds requests of its former life still on their way', async () => {
+    ready();
+    await cluster.advance(4000);
+    void cluster.restart(0, 200, [3000, 3000]);
+    await cluster.advance(100);
+    const answer = cluster.post(jobOf({}));
+    await cluster.advance(300);
+    assert.equal((await answer).status, 0);
+    assert.ok(!cluster.store.rows.has('live/job/j-000001'));
+    await cluster.advance(3000);
+    assert.ok(cluster.store.rows.has('live/job/j-000001'));
+  });
+});
+
+describe('the tasks of a gang', () => {
+  const gang = { Shape: 'ensemble', Shards: 2, SnapshotEveryS: 10, SnapshotS: 1 };
+  const [first, second] = ['j-000001/0', 'j-000001/1'] as const;
+
+  it('wait for each other, run together and are done together', async () => {
+    alone(2, 6000);
+    void cluster.post(jobOf(gang));
+    worker(1).options.imageMs = 3000;
+    void launch(0, first);
+    void launch(1, second);
+    await cluster.advance(100);
+    assert.deepEqual([phase(0, first), phase(1, second)], ['waiting', 'fetching']);
+    await cluster.advance(3000);
+    assert.deepEqual([phase(0, first), phase(1, second)], ['running', 'running']);
+    await cluster.advance(5800);
+    assert.deepEqual([phase(0, first), phase(1, second)], ['running', 'running']);
+    await cluster.advance(200);
+    assert.deepEqual([phase(0, first), phase(1, second)], ['done', 'done']);
+  });
+
+  it('give up alone, and notice when another is gone, has failed or hangs', async () => {
+    alone(3, 5000, 60);
+    void cluster.post(jobOf(gang));
+    void launch(0, first);
+    await cluster.advance(30_100);
+    assert.equal(phase(0, first), 'alone');
+    for (const attempt of [2, 3, 4]) {
+      void launch(1, first, attempt);
+      void launch(2, second, attempt);
+      await cluster.advance(100);
+      assert.equal(phase(1, first), 'running');
+      if (attempt === 2) void command(2, { Verb: 'kill', Shard: second, Try: attempt, WindDownS: 0 });
+      if (attempt === 3) worker(2).hang();
+      if (attempt === 4) cluster.kill('i-2');
+      await cluster.advance(4100);
+      assert.equal(phase(1, first), 'peers');
+      if (attempt === 3) worker(2).goOn();
+      if (attempt < 4) void command(2, { Verb: 'kill', Shard: second, Try: attempt, WindDownS: 0 });
+      await cluster.advance(100);
+    }
+  });
+
+  it('save together if all are told in time', async () => {
+    alone(2, 60_000, 60);
+    void cluster.post(jobOf(gang));
+    const stop = (n: number, shard: string) =>
+      command(n, { Verb: 'kill', Shard: shard, Try: worker(n).tasks.get(shard)!.Try, WindDownS: 2 });
+    for (const [attempt, both] of [true, false].entries()) {
+      void launch(0, first, attempt);
+      void launch(1, second, attempt);
+      await cluster.advance(100);
+      void stop(0, first);
+      if (both) void stop(1, second);
+      await cluster.advance(800);
+      assert.deepEqual([phase(0, first), phase(1, second)], ['running', 'running']);
+      await cluster.advance(3000 + (both ? 0 : 3000));
+      assert.equal(worker(0).tasks.get(first)!.Saved === true, both);
+      assert.equal(phase(1, second), both ? 'stopped' : 'peers');
+    }
+  });
+});
+
+describe('a worker', () => {
+  it('refuses what has no room, what is there with another attempt, and what nobody has submitted', async () => {
+    alone();
+    void cluster.post(jobOf({ Shards: 5 }));
+    for (const shard of [0, 1, 2, 3, 4]) void launch(0, `j-000001/${shard}`);
+    void launch(0, 'j-nobody/0');
+    await cluster.advance(100);
+    assert.equal(phase(0, 'j-000001/4'), 'no_room');
+    assert.equal(phase(0, 'j-nobody/0'), 'unknown');
+    void launch(0, 'j-000001/0', 2);
+    await cluster.advance(100);
+    assert.equal(worker(0).tasks.get('j-000001/0')!.Try, 1);
+    assert.equal(worker(0).history.length, 4);
+  });
+
+  it('keeps the result of a task that is done: started again, it is done at once', async () => {
+    alone(2);
+    void cluster.post(jobOf({}));
+    void launch(0, 'j-000001/0');
+    await cluster.advance(6000);
+    void launch(1, 'j-000001/0', 2);
+    await cluster.advance(10);
+    assert.equal(phase(1, 'j-000001/0'), 'done');
+  });
+});
+
+describe('users', () => {
+  it('repeat what fails, go on asking, and get sound answers to odd requests', async () => {
+    ready({ nodes: 2 }, 2);
+    await cluster.advance(4000);
+    cluster.store.out = true;
+    const answer = cluster.users.submit(jobOf({ Ref: 'j-000001' }));
+    await cluster.advance(8000);
+    cluster.store.endOutage();
+    assert.equal((await cluster.during(answer)).status, 201);
+    void cluster.users.submit(jobOf({ Ref: 'j-svc', Shape: 'service', GuessS: 0 }));
+    await cluster.advance(16_000);
+    assert.equal(cluster.users.jobs.get('j-000001')!.phase, 'done');
+    assert.equal(cluster.users.jobs.get('j-svc')!.phase, 'running');
+    const odd = await cluster.during(cluster.users.askOddThings());
+    assert.deepEqual(
+      odd.map((each) => each.status),
+      [200, 200, 200, 422, 422, 400, 400, 400, 400, 404],
+    );
+    assert.equal((odd[0]!.body as { Phase: string }).Phase, 'done');
+    assert.deepEqual(cluster.verdict(), []);
+  });
+});
