A new owner launches nothing before it has read up to its claim; a lease's proof names its session

Both stories failed before: a task ran on two machines, launched anew where the former owner had freed it; and a proof that was recorded twice, its first answer lost, freed what the machine had been given since.

--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -14,6 +14,7 @@
 import type { Book, Place } from '../ledger/book.js';
 import { freeShard } from '../ledger/edits.js';
 import { parseShard } from '../ledger/records.js';
+import type { Proof } from '../ledger/rules.js';
 import type { Clock } from '../net/clock.js';
 import type { HttpClient } from '../net/http-client.js';
 import { exitPriority } from '../placement/queue.js';
@@ -194,12 +195,9 @@
   }
 
   private rights(held: Held, inAnswer: boolean): Rights {
-    return {
-      fence: held.fence,
-      mayLaunch: this.claims.inTouch,
-      mayJudge: this.replica.epoch >= held.fence,
-      inAnswer,
-    };
+    // What the former owner freed, and its worker has forgotten, starts again unless it is known here.
+    const mayJudge = this.replica.epoch >= held.fence;
+    return { fence: held.fence, mayLaunch: mayJudge && this.claims.inTouch, mayJudge, inAnswer };
   }
 
   private desiredOn(host: string): Map<string, Desired> {
@@ -374,7 +372,8 @@
       if (held === undefined || !this.claims.inTouch || now <= this.leaseOver(host, held)) continue;
       const worker = this.workers.get(host) ?? new Worker(host);
       for (const place of [...this.book.placesOn(host)]) {
-        this.record(worker, role, { place, proof: { kind: 'lease' }, ending: 'lost', task: undefined });
+        const proof: Proof = { kind: 'lease', tenure: place.slot.tenure };
+        this.record(worker, role, { place, proof, ending: 'lost', task: undefined });
       }
     }
     this.stragglers.relieve(this.workers.values(), (host) => this.roleOf(host));
--- a/src/ledger/rules.ts
+++ b/src/ledger/rules.ts
@@ -101,7 +101,8 @@
   | { kind: 'exited'; attempt: number; tenure: number }
   | { kind: 'tenure'; tenure: number }
   | { kind: 'gone' }
-  | { kind: 'lease' };
+  /** The session's lease is over; it says nothing of what the machine is given in its next one. */
+  | { kind: 'lease'; tenure: number };
 
 /** Does the proof free exactly this place? */
 export function proves(proof: Proof, slot: Placed): boolean {
@@ -111,7 +112,8 @@
     case 'tenure':
       return proof.tenure > slot.tenure;
     case 'gone':
-    case 'lease':
       return true;
+    case 'lease':
+      return proof.tenure >= slot.tenure;
   }
 }
--- a/src/workers/reconcile.ts
+++ b/src/workers/reconcile.ts
@@ -27,7 +27,7 @@
 
 export interface Rights {
   fence: number;
-  /** The store confirmed just now what the ledger says: launches are allowed. */
+  /** The ledger is known up to the claim, and the store confirmed it just now: launches are allowed. */
   mayLaunch: boolean;
   /** The ledger is known up to the claim: tasks without a place in it are strays. */
   mayJudge: boolean;
--- a/test/meetings-workers.test.ts
+++ b/test/meetings-workers.test.ts
@@ -200,3 +200,94 @@
     }
   });
 });
+
+const partOf = (name: string) => cluster.node(0).claims.partOf(name);
+const isPlaced = (ref: string) => JSON.stringify(cluster.store.rows.get(`live/ledger/${ref}/0000`)?.value ?? '');
+/** Lets time pass, a little at a time, until something has come about. */
+async function until(condition: () => boolean, ms = 20_000): Promise<void> {
+  for (let waited = 0; !condition(); waited += 5) {
+    assert.ok(waited < ms, 'it does not come about');
+    await cluster.advance(5);
+  }
+}
+
+describe('a machine that is back just when its lease is proved over', () => {
+  it('keeps what it was given anew, though the proof is recorded twice', async () => {
+    await ready(3);
+    cluster.network.fault({ to: 'cloud:1', kind: 'status', status: 503, body: { error: 'trouble' } });
+    // Its job is placed by another node than the one that answers for the machine.
+    const leader = cluster.node(0).claims.ownerOf('leader');
+    const hosts = [...cluster.workers.keys()];
+    const host = hosts.find((each) => `n${partOf(each)}` !== leader)!;
+    const others = hosts.filter((each) => each !== host);
+    const ref = ['j-svc1', 'j-svc2', 'j-svc3', 'j-svc4'].find((each) => partOf(each) !== partOf(host))!;
+    for (const other of others) cluster.workers.get(other)!.warningS = 1000;
+    await cluster.advance(2000);
+    await cluster.submit({ ...service, Ref: ref, Rank: 'high' });
+    assert.equal(where(`${ref}/0`), host);
+    const speak = muzzle(host);
+    await cluster.advance(8500);
+    const owner = partOf(host);
+    // The proof is recorded, but the answer is lost: the owner tries again later.
+    cluster.network.fault({ from: `n${owner}`, to: 'store:1', path: /^\/txn/, kind: 'mute', times: 1 });
+    await until(() => !isPlaced(ref).includes(host));
+    speak();
+    // In the meantime the machine is back, in a new session.
+    const machine = cluster.workers.get(host)!;
+    for (let report = 0; report < 2; report++) {
+      void cluster.node(owner).hello(machine.report());
+      await cluster.advance(report === 0 ? 490 : 0);
+    }
+    // It is slow to read again what has become of it.
+    const heal = cluster.network.fault({ from: `n${owner}`, to: 'store:1', path: /^\/watch/, kind: 'lose' });
+    await until(() => cluster.runs(`${ref}/0`).length === 2, 1500);
+    heal();
+    for (const other of others) cluster.workers.get(other)!.warningS = null;
+    await cluster.advance(12_000);
+    const runs = cluster.runs(`${ref}/0`);
+    assert.equal(runs.length, 2);
+    assert.equal(cluster.overlaps(`${ref}/0`), 0);
+    assert.equal(runs[1]!.host, host);
+  });
+});
+
+describe('a node that takes a part over before it has read what its former owner did last', () => {
+  it('starts nothing there that has gone elsewhere', async () => {
+    await ready(3);
+    // The part's own node is away, and another one answers for its machines.
+    const host = [...cluster.workers.keys()].find(
+      (each) => `n${partOf(each)}` !== cluster.node(0).claims.ownerOf('leader'),
+    )!;
+    const home = partOf(host);
+    const role = `part-${home}`;
+    cluster.crash(home);
+    const others = [0, 1, 2].filter((node) => node !== home);
+    await cluster.advance(8000);
+    const former = Number(cluster.node(others[0]!).claims.ownerOf(role)!.slice(1));
+    assert.notEqual(former, home);
+    for (const other of cluster.workers.keys()) if (other !== host) cluster.workers.get(other)!.warningS = 1000;
+    await cluster.advance(2000);
+    await cluster.submit({ ...service, Rank: 'high' }, former);
+    assert.equal(where('j-svc/0'), host);
+    for (const other of cluster.workers.keys()) if (other !== host) cluster.workers.get(other)!.warningS = null;
+    await cluster.advance(2000);
+    cluster.start(home);
+    await cluster.advance(700);
+    cluster.workers.get(host)!.warningS = 1000;
+    const leads = Number(cluster.node(former).claims.ownerOf('leader')!.slice(1));
+    await until(() => cluster.node(leads).fleet.get(host)!.warnedUntil !== null);
+    // What happens from here on it learns from nobody: the task is stopped, forgotten, and starts on another machine.
+    const heal = cluster.network.fault({ from: `n${home}`, to: 'store:1', path: /^\/watch/, kind: 'lose' });
+    for (const node of others) cluster.parted.add(`n${node}>n${home}`);
+    await until(() => cluster.runs('j-svc/0').length === 2 && !cluster.workers.get(host)!.tasks.has('j-svc/0'));
+    for (const node of others) cluster.parted.delete(`n${node}>n${home}`);
+    void cluster.node(former).claims.cede(role, 'for the story', 15_000);
+    await until(() => cluster.node(home).claims.holding(role) !== undefined, 1000);
+    assert.ok(cluster.node(home).claims.inTouch);
+    await cluster.advance(1000);
+    heal();
+    await cluster.advance(5000);
+    assert.equal(cluster.runs('j-svc/0').length, 2);
+    assert.equal(cluster.overlaps('j-svc/0'), 0);
+  });
+});
