--- a/src/controller/claims.ts
+++ b/src/controller/claims.ts
@@ -37,6 +37,8 @@
 export interface Held {
   /** The claim's Stamp, the fencing token. */
   fence: number;
+  /** The Stamp of the claim by which the part came (not moved by raising the fence): what former owners did is older. */
+  first: number;
   /** Steady ms when this node came to own the part (not moved by raising the fence). */
   since: number;
 }
@@ -136,7 +138,7 @@
   /** A new Stamp for a claim that is held: late commands under the old one are refused from then on. */
   async raise(role: string): Promise<void> {
     const held = this.holding(role);
-    if (held !== undefined) await this.take(role, held.since);
+    if (held !== undefined) await this.take(role, true, held);
   }
 
   /** Gives a role up, for a node that should have it or can do better. Answers stop before the claim goes. */
@@ -155,7 +157,8 @@
     this.avoidUntil.set(role, this.clock.now() + avoidMs);
   }
 
-  private async take(role: string, since?: number): Promise<void> {
+  /** `mine`: also where the claim is this process's already; `before`: as which it is held. */
+  private async take(role: string, mine: boolean, before?: Held): Promise<void> {
     const latch = this.latch;
     if (latch === undefined || this.taking.has(role)) return;
     this.taking.add(role);
@@ -166,7 +169,7 @@
         const now = draft.get(claimKey(role)) as ClaimRecord | undefined;
         // A claim of this node's former life may be taken at once: that process has ended.
         if (latch !== this.latch || (now !== undefined && now.node !== this.settings.node)) return false;
-        if (now?.latch === latch && since === undefined) return false;
+        if (now?.latch === latch && !mine) return false;
         draft.latch = latch;
         draft.set(claimKey(role), { node: this.settings.node, latch } satisfies ClaimRecord);
         return true;
@@ -175,8 +178,9 @@
     );
     this.taking.delete(role);
     if (outcome.kind === 'done') {
-      this.held.set(role, { fence: outcome.epoch, since: since ?? this.clock.now() });
-      this.log.info({ role, fence: outcome.epoch }, since === undefined ? 'role claimed' : 'fence raised');
+      const { first, since } = before ?? { first: outcome.epoch, since: this.clock.now() };
+      this.held.set(role, { fence: outcome.epoch, first, since });
+      this.log.info({ role, fence: outcome.epoch }, before === undefined ? 'role claimed' : 'fence raised');
     }
   }
 
@@ -220,7 +224,7 @@
     await Promise.all(
       wanted.map((role) => {
         const mine = this.book.claims.get(role)?.record.latch === this.latch;
-        return this.take(role, mine ? now : undefined);
+        return this.take(role, mine);
       }),
     );
   }
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -196,7 +196,7 @@
 
   private rights(held: Held, inAnswer: boolean): Rights {
     // What the former owner freed, and its worker has forgotten, starts again unless it is known here.
-    const mayJudge = this.replica.epoch >= held.fence;
+    const mayJudge = this.replica.epoch >= held.first;
     return { fence: held.fence, mayLaunch: mayJudge && this.claims.inTouch, mayJudge, inAnswer };
   }
 
--- a/test/meetings-workers.test.ts
+++ b/test/meetings-workers.test.ts
@@ -229,7 +229,7 @@
     await cluster.advance(8500);
     const owner = partOf(host);
     // The proof is recorded, but the answer is lost: the owner tries again later.
-    cluster.network.fault({ from: `n${owner}`, to: 'store:1', path: /^\/txn/, kind: 'mute', times: 1 });
+    cluster.network.fault({ from: `n${owner}`, to: 'store:1', path: /^\/txn/, kind: 'answerLost', times: 1 });
     await until(() => !isPlaced(ref).includes(host));
     speak();
     // In the meantime the machine is back, in a new session.
