A refused handover goes on answering; a part that was given up is not taken again at once

Controllers hand over and back, all end, and one returns, also within a second. Two faults, each shown before it was mended: a handover into an outage of the store left the workers of the part without answers, and all their tasks died; a node that gave up its own part took it again at once, since it hears of its own change first. A raise whose claim has gone takes no claim any more.

--- a/src/controller/claims.ts
+++ b/src/controller/claims.ts
@@ -145,19 +145,26 @@
   async cede(role: string, why: string, avoidMs: number): Promise<void> {
     if (this.holding(role) === undefined) return;
     this.ceding.add(role);
+    // Set before the claim goes, or this node would be the first to take the role again.
+    this.avoidUntil.set(role, this.clock.now() + avoidMs);
     this.log.info({ role, why }, 'role ceded');
-    await this.committer.commit('cede', Priority.hold, (draft) => {
-      const value = draft.get(claimKey(role)) as ClaimRecord | undefined;
-      if (value === undefined || value.latch !== this.latch) return false;
-      draft.drop(claimKey(role));
-      return true;
-    });
-    this.held.delete(role);
+    const outcome = await this.committer.commit(
+      'cede',
+      Priority.hold,
+      (draft) => {
+        const value = draft.get(claimKey(role)) as ClaimRecord | undefined;
+        if (value === undefined || value.latch !== this.latch) return false;
+        draft.drop(claimKey(role));
+        return true;
+      },
+      HOLD_TTL_MS,
+    );
     this.ceding.delete(role);
-    this.avoidUntil.set(role, this.clock.now() + avoidMs);
+    // As long as the claim stands nobody else can answer: in an outage the tasks would die of waiting for the handover.
+    if (outcome.kind !== 'expired') this.held.delete(role);
   }
 
-  /** `mine`: also where the claim is this process's already; `before`: as which it is held. */
+  /** `mine`: the claim is this process's already, else nobody's or a former life's; `before`: as which it is held. */
   private async take(role: string, mine: boolean, before?: Held): Promise<void> {
     const latch = this.latch;
     if (latch === undefined || this.taking.has(role)) return;
@@ -169,7 +176,7 @@
         const now = draft.get(claimKey(role)) as ClaimRecord | undefined;
         // A claim of this node's former life may be taken at once: that process has ended.
         if (latch !== this.latch || (now !== undefined && now.node !== this.settings.node)) return false;
-        if (now?.latch === latch && !mine) return false;
+        if ((now?.latch === latch) !== mine) return false;
         draft.latch = latch;
         draft.set(claimKey(role), { node: this.settings.node, latch } satisfies ClaimRecord);
         return true;
@@ -181,6 +188,8 @@
       const { first, since } = before ?? { first: outcome.epoch, since: this.clock.now() };
       this.held.set(role, { fence: outcome.epoch, first, since });
       this.log.info({ role, fence: outcome.epoch }, before === undefined ? 'role claimed' : 'fence raised');
+      // Nothing is launched before the copy is complete up to the claim.
+      void this.replica.refresh();
     }
   }
 
--- a/test/meetings-leaders.test.ts
+++ b/test/meetings-leaders.test.ts
@@ -34,7 +34,15 @@
   return hosts.filter((host) => roleOf(host) === role).slice(0, count);
 }
 
-void [service, cloudDown, hostsOf];
+/** Nothing runs any more, and the team's use says so. */
+function assertTeamFree(): void {
+  const use = cluster.store.rows.get('live/team/red')?.value as { cpus: number } | undefined;
+  assert.equal(use?.cpus ?? 0, 0);
+  assert.deepEqual(
+    [...cluster.store.rows.keys()].filter((key) => key.startsWith('live/job') || key.startsWith('live/ledger')),
+    [],
+  );
+}
 
 function assertKept(): void {
   assert.deepEqual(cluster.verdict(), []);
@@ -149,3 +157,60 @@
     assertKept();
   });
 });
+
+describe('controllers that hand over and back, all end, and return', () => {
+  it('keep answering while a handover is refused by an outage, however long, and nothing dies', async () => {
+    await ready(6);
+    for (let n = 0; n < 4; n++) await cluster.submit({ ...service, Ref: `j-svc${n}`, Shards: 3 });
+    cluster.store.out = true;
+    for (const node of NODES) void cluster.node(node).claims.cede(`part-${node}`, 'story', 3000);
+    await cluster.advance(45_000);
+    cluster.store.endOutage();
+    await cluster.advance(15_000);
+    for (const worker of cluster.workers.values()) assert.equal(worker.tenure, 1);
+    for (const role of ['part-0', 'part-1', 'part-2', 'leader']) assert.ok(NODES.includes(holder(role)), role);
+    assertKept();
+  });
+
+  for (const awayMs of [200, 900, 4000, 14_000]) {
+    it(`within moments, one of them ${awayMs} ms after all have ended, start nothing twice and forget nothing`, async () => {
+      await ready(6);
+      cluster.remember();
+      await cluster.submit({ ...service, Shards: 4 });
+      await cluster.submit({ Ref: 'j-batch', Shards: 12 });
+      for (let round = 0; round < 6; round++) {
+        const from = holder(`part-${round % 3}`);
+        if (!cluster.has(from)) continue;
+        void cluster.node(from).claims.cede(`part-${round % 3}`, 'story', 500);
+        if (cluster.has(holder('leader'))) void cluster.node(holder('leader')).claims.cede('leader', 'story', 500);
+        await cluster.advance(300);
+        cluster.crash(from);
+        await cluster.advance(150 * round);
+        cluster.start(from);
+        await cluster.advance(900);
+      }
+      // Some machines can't be reached meanwhile, nor can the cloud say that they are gone.
+      const heal = cloudDown();
+      for (const shard of [0, 1]) cluster.cut.add(cluster.runs(`j-svc/${shard}`).at(-1)!.host);
+      for (const node of NODES) cluster.crash(node);
+      await cluster.advance(awayMs);
+      cluster.start(1);
+      await cluster.advance(Math.max(4000, 8500 - awayMs));
+      cluster.cut.clear();
+      heal();
+      await cluster.poll('j-batch', 1);
+      cluster.start(0);
+      cluster.start(2);
+      await cluster.advance(40_000);
+      cluster.judge.troublesOver(cluster.clock.now());
+      await cluster.advance(20_000);
+      assert.equal(await phase('j-batch', 1), 'done');
+      assert.equal(body(await cluster.poll('j-svc', 2)).Phase, 'running');
+      for (const node of NODES) assert.equal(body(await cluster.poll('j-svc', node)).Phase, 'running');
+      await cluster.withdraw('j-svc', 2);
+      await cluster.advance(5000);
+      assertTeamFree();
+      assertKept();
+    });
+  }
+});
