--- a/test/meetings-workers.test.ts
+++ b/test/meetings-workers.test.ts
@@ -23,15 +23,6 @@
   return machine !== undefined && cluster.node(node).fleet.isOpen(machine);
 };
 
-/** The machine opens no connection to any controller; commands reach it, and their answers come back. */
-function muzzle(host: string): () => void {
-  const pairs = [0, 1, 2].map((node) => `${host}>n${node}`);
-  for (const pair of pairs) cluster.unreachable.add(pair);
-  return () => {
-    for (const pair of pairs) cluster.unreachable.delete(pair);
-  };
-}
-
 describe('a machine that can open no connection, though commands reach it', () => {
   it('gets no new work by its answers to commands, and its service comes up elsewhere for good', async () => {
     await ready(2);
@@ -40,7 +31,7 @@
     const machine = cluster.workers.get(host)!;
     cluster.remember();
     const since = cluster.clock.now();
-    muzzle(host);
+    cluster.mute.add(host);
     for (let second = 0; second < 40; second++) {
       // Some job goes to every machine that counts as open, and each command's answer is one more report of it.
       void cluster.post(jobOf({ Ref: `j-${second}`, Shards: 1, Cpus: 1 }), second % 3);
@@ -65,7 +56,7 @@
     await ready(3);
     await cluster.submit(service);
     const host = where('j-svc/0');
-    muzzle(host);
+    cluster.mute.add(host);
     await cluster.advance(4500);
     const asked = cluster.clock.now();
     assert.equal(phase(await cluster.withdraw('j-svc', 1)), 'withdrawn');
@@ -81,7 +72,7 @@
     cluster.remember();
     cluster.network.fault({ to: 'cloud:1', kind: 'status', status: 503, body: { error: 'trouble' } });
     const since = cluster.clock.now();
-    muzzle(host);
+    cluster.mute.add(host);
     // The kill arrives, its answer does not: nobody knows that the task has gone.
     cluster.network.fault({ to: `${host}:9000`, kind: 'answerLost' });
     await cluster.advance(1000);
@@ -99,25 +90,15 @@
   });
 });
 
-/** The machine hangs; commands that were sent to it in the meantime are carried out when it goes on. */
-function hang(host: string): () => void {
-  const speak = muzzle(host);
-  const heal = cluster.network.fault({ to: `${host}:9000`, kind: 'hold' });
-  return () => {
-    heal();
-    cluster.network.release();
-    speak();
-  };
-}
-
 describe('a command that is held up', () => {
   it('starts nothing for long, when its job is cancelled before the machine goes on', async () => {
     await ready(1);
-    const goOn = hang('i-000000');
+    const machine = cluster.workers.get('i-000000')!;
+    machine.hang();
     void cluster.post(jobOf(service));
     await cluster.advance(600);
     assert.equal(phase(await cluster.withdraw('j-svc', 1)), 'withdrawn');
-    goOn();
+    machine.goOn();
     await cluster.advance(10_000);
     const [run] = cluster.runs('j-svc/0');
     // A worker waits 5 s for an answer that does not come before it reports again.
@@ -129,19 +110,18 @@
 
   it('is refused where the new token has come first, and its place is free only then', async () => {
     await ready(1);
-    const [host] = [...cluster.workers.keys()];
+    const host = 'i-000000';
     cluster.network.fault({ to: 'cloud:1', kind: 'status', status: 503, body: { error: 'trouble' } });
-    const speak = muzzle(host!);
-    const heal = cluster.network.fault({ to: `${host}:9000`, kind: 'hold' });
+    cluster.mute.add(host);
+    const deliver = cluster.network.cut({ to: `${host}:9000` });
     void cluster.post(jobOf(service));
     await cluster.advance(600);
     assert.equal(phase(await cluster.withdraw('j-svc', 1)), 'withdrawn');
     assert.equal(cluster.store.rows.has('ended/j-svc'), false, 'the launch may still arrive');
-    speak();
+    cluster.mute.delete(host);
     await cluster.advance(4000);
     assert.ok(cluster.store.rows.has('ended/j-svc'));
-    heal();
-    cluster.network.release();
+    deliver();
     await cluster.advance(3000);
     assert.equal(cluster.runs('j-svc/0').length, 0);
   });
@@ -161,18 +141,17 @@
 
   it('does not come through an outage of the store either, which keeps the owner from a new token', async () => {
     await ready(1);
-    const [host] = [...cluster.workers.keys()];
-    const speak = muzzle(host!);
-    const heal = cluster.network.fault({ to: `${host}:9000`, kind: 'hold' });
+    const host = 'i-000000';
+    cluster.mute.add(host);
+    const deliver = cluster.network.cut({ to: `${host}:9000` });
     void cluster.post(jobOf(service));
     await cluster.advance(600);
     void cluster.cancel('j-svc', 1);
     await cluster.advance(300);
     cluster.store.out = true;
-    speak();
+    cluster.mute.delete(host);
     await cluster.advance(60_000);
-    heal();
-    cluster.network.release();
+    deliver();
     await cluster.advance(5000);
     cluster.store.endOutage();
     await cluster.advance(8000);
@@ -187,12 +166,13 @@
       const ref = `j-svc-${hangMs}`;
       await cluster.submit({ ...service, Ref: ref });
       const host = where(`${ref}/0`);
-      const goOn = hang(host);
+      const machine = cluster.workers.get(host)!;
+      machine.hang();
       void cluster.cancel(ref, 1);
       // Launches are on their way there too.
       for (let n = 0; n < 4; n++) void cluster.post(jobOf({ Ref: `j-${hangMs}-${n}`, Shards: 2 }), n % 3);
       await cluster.advance(hangMs);
-      goOn();
+      machine.goOn();
       await cluster.advance(2000);
       assert.notEqual(cluster.runs(`${ref}/0`)[0]!.to, undefined);
       await cluster.advance(30_000);
@@ -225,13 +205,13 @@
     await cluster.advance(2000);
     await cluster.submit({ ...service, Ref: ref, Rank: 'high' });
     assert.equal(where(`${ref}/0`), host);
-    const speak = muzzle(host);
+    cluster.mute.add(host);
     await cluster.advance(8500);
     const owner = partOf(host);
     // The proof is recorded, but the answer is lost: the owner tries again later.
     cluster.network.fault({ from: `n${owner}`, to: 'store:1', path: /^\/txn/, kind: 'answerLost', times: 1 });
     await until(() => !isPlaced(ref).includes(host));
-    speak();
+    cluster.mute.delete(host);
     // In the meantime the machine is back, in a new session.
     const machine = cluster.workers.get(host)!;
     for (let report = 0; report < 2; report++) {
