--- a/src/controller/claims.ts
+++ b/src/controller/claims.ts
@@ -188,8 +188,8 @@
       const { first, since } = before ?? { first: outcome.epoch, since: this.clock.now() };
       this.held.set(role, { fence: outcome.epoch, first, since });
       this.log.info({ role, fence: outcome.epoch }, before === undefined ? 'role claimed' : 'fence raised');
-      // Nothing is launched before the copy is complete up to the claim.
-      void this.replica.refresh();
+      // Nothing is launched before the copy is complete up to the first claim.
+      if (before === undefined) void this.replica.refresh();
     }
   }
 
