--- a/src/main.ts
+++ b/src/main.ts
@@ -67,5 +67,10 @@
 for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => stop.abort());
 setMaxListeners(0, stop.signal);
 const http = new NodeHttpClient(Math.floor(settings.cluster.limits.sockets * 0.25));
-await new Controller(settings, tuning, http, systemClock, log).run(stop.signal);
-http.close();
+new Controller(settings, tuning, http, systemClock, log).run(stop.signal).then(
+  () => http.close(),
+  (error: unknown) => {
+    log.error({ error: (error as Error)?.stack ?? String(error) }, 'can not go on');
+    process.exit(1);
+  },
+);
