A member's exit in a report from before the claim does not free its place under the same attempt

A report held back until a new leader has acted. It listed the first end of a gang's member that had been placed on the same machine again under the same attempt since: the new owner took it for the end of the second, and the member ran on two machines (story seen to fail before). Also, a proof that still waits for the store is void once the part has been in other hands.

--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -203,8 +203,9 @@
   private desiredOn(host: string): Map<string, Desired> {
     const desired = new Map<string, Desired>();
     for (const place of this.book.placesOn(host)) {
-      const withdrawn = this.book.jobs.get(place.ref)?.record.phase === 'withdrawn';
-      desired.set(nameOfPlace(place), { place, withdrawn });
+      const record = this.book.jobs.get(place.ref)?.record;
+      const inGang = record?.spec.Shape === 'ensemble';
+      desired.set(nameOfPlace(place), { place, withdrawn: record?.phase === 'withdrawn', inGang });
     }
     return desired;
   }
@@ -239,6 +240,7 @@
     if (this.recording.has(key)) return;
     this.recording.add(key);
     const now = this.clock.now();
+    const since = this.claims.holding(role)?.since;
     const began = worker.runningSince.get(key);
     const seconds = (ms: number | undefined) => (ms === undefined ? undefined : Math.round(ms / 100) / 10);
     this.log.debug(
@@ -268,7 +270,8 @@
         'free',
         exitPriority(this.book.jobs.get(place.ref)?.record.spec),
         (draft) => {
-          if (!this.claims.require(draft, role)) return false;
+          // What another owner has placed here in between, this proof does not speak of.
+          if (!this.claims.require(draft, role) || this.claims.holding(role)?.since !== since) return false;
           return freeShard(draft, this.teams, place.ref, place.shard, worker.host, proof, ending);
         },
         undefined,
--- a/src/workers/reconcile.ts
+++ b/src/workers/reconcile.ts
@@ -9,6 +9,8 @@
   place: Place;
   /** The job is withdrawn: nothing of it is of use any more. */
   withdrawn: boolean;
+  /** A member of a gang may come here again under the same attempt. */
+  inGang: boolean;
 }
 
 export interface Free {
@@ -53,6 +55,8 @@
   for (const [name, task] of worker.tasks) {
     const want = matches(name, task);
     if (task.phase === 'exited') {
+      // A report from before the claim may tell of a member's first end, when it has been placed here once more since.
+      if (want?.inGang === true && worker.fence < rights.fence) continue;
       if (want !== undefined) {
         const proof: Proof = { kind: 'exited', attempt: task.attempt, tenure: worker.tenure };
         plan.frees.push({ place: want.place, proof, ending: endingOf(task), task });
--- a/test/meetings-leaders.test.ts
+++ b/test/meetings-leaders.test.ts
@@ -172,6 +172,18 @@
     assertKept();
   });
 
+  it('that have given up their own part leave it to others for the while that was said', async () => {
+    await ready(3);
+    const taken = cluster.node(0).claims.holding('part-0')!.fence;
+    void cluster.node(0).claims.cede('part-0', 'story', 8000);
+    await cluster.advance(5000);
+    assert.notEqual(holder('part-0'), 0);
+    await cluster.advance(8000);
+    assert.equal(holder('part-0'), 0);
+    assert.ok(cluster.node(0).claims.holding('part-0')!.fence > taken);
+    assertKept();
+  });
+
   for (const awayMs of [200, 900, 4000, 14_000]) {
     it(`within moments, one of them ${awayMs} ms after all have ended, start nothing twice and forget nothing`, async () => {
       await ready(6);
@@ -214,3 +226,66 @@
     });
   }
 });
+
+describe('a report that was held back until a new leader has acted', () => {
+  it('does not free the place of a member of a gang that is there again under the same attempt', async () => {
+    const workers = { report_s: 1, lease_s: 30, gang_wait_s: 300, gang_peer_s: 4, cancel_s: 80 };
+    await ready(0, { ...red, cluster: { workers } });
+    const leader = holder('leader');
+    const [early, late] = [hostsOf(`part-${leader}`, 1)[0]!, hostsOf(`part-${(leader + 1) % 3}`, 1)[0]!];
+    cluster.addWorker({ host: early });
+    cluster.addWorker({ host: late, imageMs: 200_000 });
+    await cluster.advance(3000);
+    await cluster.submit(gang);
+    const [first] = [...cluster.workers.get(early)!.tasks.keys()];
+    cluster.workers.get(early)!.end(first!, 'no_room');
+    const held = cluster.workers.get(early)!.report();
+    // It is recorded and forgotten, and the member is placed there once more: the others wait for it.
+    await cluster.advance(15_000);
+    assert.deepEqual(
+      cluster.runs(first!).map(({ host, attempt, to }) => [host, attempt, to === undefined]),
+      [
+        [early, 1, false],
+        [early, 1, true],
+      ],
+    );
+    const heal = cloudDown();
+    cluster.cut.add(early);
+    cluster.crash(leader);
+    cluster.addWorker({ host: hostsOf(`part-${(leader + 1) % 3}`, 2)[1]! });
+    await cluster.advance(5000);
+    const owner = holder(`part-${leader}`);
+    assert.notEqual(owner, leader);
+    cluster.node(owner).hello(JSON.parse(JSON.stringify(held)));
+    await cluster.advance(20_000);
+    cluster.cut.clear();
+    heal();
+    await cluster.advance(20_000);
+    assertKept();
+  });
+
+  it('nor do copies of any age, at any node, while leaders come and go', async () => {
+    await ready(6);
+    cluster.remember();
+    cluster.lateReports = { share: 0.4, lateMs: [2000, 25_000] };
+    await cluster.submit({ ...service, Shards: 4 });
+    await cluster.submit({ ...gang, Cpus: 4, Shards: 3 });
+    await cluster.submit({ Ref: 'j-batch', Shards: 20 });
+    for (let round = 0; round < 6; round++) {
+      const leader = holder('leader');
+      cluster.crash(leader);
+      await cluster.advance(round % 2 === 0 ? 6000 : 700);
+      cluster.start(leader);
+      await cluster.advance(5000);
+    }
+    cluster.lateReports = undefined;
+    await cluster.advance(30_000);
+    cluster.judge.troublesOver(cluster.clock.now());
+    assert.equal(await phase('j-batch'), 'done');
+    assert.equal(await phase('j-gang'), 'done');
+    await cluster.withdraw('j-svc', 1);
+    await cluster.advance(5000);
+    assertTeamFree();
+    assertKept();
+  });
+});
