--- a/src/testing/fake-worker.ts
+++ b/src/testing/fake-worker.ts
@@ -195,6 +195,7 @@
     this.images.add(job.Bundle);
     this.history.push({ shard, attempt: task.Try, from: this.clock.now(), to: undefined });
     this.onStart(shard, task.orderedAt);
+    task.Phase = 'running';
     if (this.around.results.has(shard)) return this.end(shard, 'done');
     if (job.Shape !== 'ensemble') return this.run(shard);
     task.Phase = 'waiting';
--- a/test/standins.test.ts
+++ b/test/standins.test.ts
@@ -332,6 +332,7 @@
     void launch(1, 'j-000001/0', 2);
     await cluster.advance(10);
     assert.equal(phase(1, 'j-000001/0'), 'done');
+    assert.equal(worker(1).history[0]!.to, worker(1).history[0]!.from);
   });
 });
 
