--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -29,6 +29,10 @@
   cluster?: object;
   tuning?: Partial<Tuning>;
   flavors?: Record<string, unknown>[];
+  /** Rented machines are up after so many ms; without it they never are. */
+  bootMs?: number;
+  /** How long tasks run on rented machines. */
+  runMs?: number;
 }
 
 interface Node {
@@ -88,7 +92,7 @@
 
 /** Stands between a controller and the rest, so that it can stand still in the middle of anything. */
 class Freezer {
-  readonly traps: Trap[] = [];
+  readonly traps = new Set<Trap>();
   /** The clock as the controller sees it: no wait of a frozen process ends. */
   readonly thawed: Clock;
   private until = -Infinity;
@@ -117,8 +121,9 @@
   }
 
   private async pause(when: Trap['when'], path: string): Promise<void> {
-    const at = this.traps.findIndex((trap) => trap.when === when && trap.path.test(path));
-    if (at >= 0) this.freeze(this.traps.splice(at, 1)[0]!.forMs);
+    const trap = [...this.traps].find((each) => each.when === when && each.path.test(path));
+    if (trap !== undefined) this.freeze(trap.forMs);
+    this.traps.delete(trap!);
     await this.pass();
   }
 
@@ -170,6 +175,8 @@
   lateReports: { share: number; lateMs: [number, number] } | undefined;
   /** Users who repeat what fails and go on asking; they act when a story tells them to. */
   readonly users: FakeUsers;
+  /** Called when a task has ended, at that very moment. */
+  onTaskEnd: (shard: string, cause: string) => void = () => undefined;
   private readonly jobs = new Map<string, Description>();
   private readonly results = new Set<string>();
   private readonly gangs: FakeGangs;
@@ -186,6 +193,7 @@
     this.judge = new Judge({ teams, flavors, cancelS: workers.cancel_s });
     this.cloud = new FakeCloud(flavors);
     this.cloud.onReturn = (host) => this.kill(host);
+    this.cloud.onHire = (host) => this.boot(host);
     this.network.serve('store:1', (method, path, body, { from, late }) =>
       // What comes late had reached the store before it began to refuse its sender.
       this.store.handle(method, path, body, late === true ? undefined : from),
@@ -261,9 +269,22 @@
     this.nodes.get(`n${index}`)?.freezer.freeze(forMs);
   }
 
-  /** The same at the next moment at which the node is about to send such a request or answer, or has just sent one. */
-  freezeAt(index: number, trap: Trap): void {
-    this.nodes.get(`n${index}`)?.freezer.traps.push(trap);
+  /**
+   * The same at the next moment at which the node is about to send such a request or answer, or has just sent one. Returns
+   * what gives it up.
+   */
+  freezeAt(index: number, trap: Trap): () => void {
+    const traps = this.nodes.get(`n${index}`)?.freezer.traps;
+    traps?.add(trap);
+    return () => traps?.delete(trap);
+  }
+
+  /** The node that holds the claim to lead, if it is up. */
+  leader(): number | undefined {
+    for (const [name, { controller }] of this.nodes) {
+      if (controller.claims.holding('leader') !== undefined) return Number(name.slice(1));
+    }
+    return undefined;
   }
 
   /** Is the node up? */
@@ -286,7 +307,10 @@
     this.workers.set(host, worker);
     this.judge.machineUp(host, { flavor, site, reclaimable });
     worker.onStart = (shard, orderedAt) => this.judge.taskStarted(this.clock.now(), host, shard, orderedAt);
-    worker.onEnd = (shard, cause) => this.judge.taskEnded(this.clock.now(), host, shard, cause);
+    worker.onEnd = (shard, cause) => {
+      this.judge.taskEnded(this.clock.now(), host, shard, cause);
+      this.onTaskEnd(shard, cause);
+    };
     this.network.serve(worker.endpoint, (method, path, body, sender) => worker.handle(method, path, body, sender.at));
     this.cloud.machines.set(host, {
       Flavor: flavor,
@@ -298,6 +322,17 @@
     return worker;
   }
 
+  private boot(host: string): void {
+    const { bootMs, runMs } = this.options;
+    if (bootMs === undefined) return;
+    this.clock.after(bootMs, () => {
+      const machine = this.cloud.machines.get(host);
+      if (machine === undefined) return;
+      const { Flavor: flavor, Site: site, Reclaimable: reclaimable } = machine;
+      this.addWorker({ host, flavor, site, reclaimable, ...(runMs === undefined ? {} : { runMs }) });
+    });
+  }
+
   /** The machine is gone, with all that is on it. */
   kill(host: string): void {
     this.workers.get(host)?.die();
--- a/src/testing/fake-cloud.ts
+++ b/src/testing/fake-cloud.ts
@@ -10,6 +10,8 @@
   >();
   readonly full = new Set<string>();
   private next = 100;
+  /** Called when a machine has been rented. */
+  onHire: (host: string) => void = () => undefined;
   /** Called when a machine has been returned. */
   onReturn: (host: string) => void = () => undefined;
 
@@ -44,6 +46,7 @@
     for (const host of hosts) {
       const { Flavor, Site, Reclaimable } = hire;
       this.machines.set(host, { Flavor, Site, Reclaimable, Phase: 'starting', HeldS: 0 });
+      this.onHire(host);
     }
     return { status: 200, body: { Hosts: hosts } };
   }
