--- a/src/controller/recaller.ts
+++ b/src/controller/recaller.ts
@@ -10,7 +10,8 @@
 import type { Log } from './log.js';
 
 /**
- * Stops what is left of withdrawn jobs on machines whose owner is without the store, and so may not know of the withdrawal.
+ * Stops what is left of withdrawn jobs on machines whose owner is without the store, and so may not know of the withdrawal,
+ * also while this node is, and can't tell.
  * A withdrawal is final, and a worker takes orders from any node under its owner's token: nothing of the owner's is decided
  * here, and it learns of the exits by the next report. That the tasks go in time does not rest on this; it only stops them
  * sooner.
@@ -23,7 +24,7 @@
     private readonly claims: Claims,
     private readonly book: Book,
     private readonly fleet: Fleet,
-    private readonly peers: { hasStore(node: string): boolean },
+    private readonly peers: { saysWithoutStore(node: string): boolean },
     private readonly http: HttpClient,
     private readonly clock: Clock,
     private readonly log: Log,
@@ -52,7 +53,8 @@
         const role = partRole(this.claims.partOf(slot.host));
         const claim = this.book.claims.get(role);
         if (claim === undefined || this.claims.holding(role) !== undefined) continue;
-        if (this.peers.hasStore(claim.record.node)) continue;
+        // An owner that is only busy, or whose part others will take over, needs no help.
+        if (this.claims.inTouch && !this.peers.saysWithoutStore(claim.record.node)) continue;
         let here = left.get(slot.host);
         if (here === undefined || here.tenure < slot.tenure) {
           left.set(slot.host, (here = { fence: claim.stamp, tenure: slot.tenure, orders: [] }));
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -82,7 +82,12 @@
     return this.fresh(node)?.gossip.avoids.includes(role) === true;
   }
 
+  /** The peer is up, and says that the store refuses or doesn't answer it. */
+  saysWithoutStore(node: string): boolean {
+    return this.fresh(node)?.gossip.withoutStore === true;
+  }
+
   someWithoutStore(): boolean {
-    return this.nodes.length === 0 || this.nodes.some((node) => this.fresh(node)?.gossip.withoutStore === true);
+    return this.nodes.length === 0 || this.nodes.some((node) => this.saysWithoutStore(node));
   }
 }
