--- a/test/meetings-workers.test.ts
+++ b/test/meetings-workers.test.ts
@@ -271,3 +271,208 @@
     assert.equal(cluster.overlaps('j-svc/0'), 0);
   });
 });
+
+describe('a late copy of a report', () => {
+  for (const restarts of [false, true]) {
+    it(`from before a launch proves nothing, ${restarts ? 'at its owner that is just back' : 'wherever it comes'}`, async () => {
+      await ready(2, { nodes: 3, teams: [{ name: 'red', cpus_max: 2 }] });
+      cluster.network.fault({ to: 'cloud:1', kind: 'status', status: 503, body: { error: 'trouble' } });
+      const copies = [...cluster.workers.values()].map((worker) => worker.report());
+      await cluster.submit(service);
+      const host = where('j-svc/0');
+      const owner = partOf(host);
+      const copy = copies.find(({ Host }) => Host === host)!;
+      cluster.cut.add(host);
+      void cluster.cancel('j-svc', owner);
+      await cluster.advance(50);
+      void cluster.post(jobOf({ ...service, Ref: 'j-svc2' }), owner);
+      if (restarts) {
+        void cluster.restart(owner);
+        await cluster.advance(300);
+        assert.notEqual(cluster.node(owner).claims.holding(`part-${owner}`), undefined);
+      }
+      for (const node of [0, 1, 2]) void cluster.node(node).hello(copy);
+      const relay = { node: `n${(owner + 1) % 3}`, id: 1, report: JSON.stringify(copy) };
+      cluster.node(owner).receive({ relay });
+      await cluster.advance(5000);
+      assert.equal(cluster.runs('j-svc2/0').length, 0, 'the team is at its limit');
+      cluster.cut.delete(host);
+      await cluster.advance(15_000);
+      assert.notEqual(cluster.runs('j-svc/0')[0]!.to, undefined);
+      assert.equal(cluster.runs('j-svc2/0').length, 1);
+    });
+  }
+
+  it('frees no task of a gang that has been started there again under its attempt', async () => {
+    await ready(4, { nodes: 3, teams: [{ name: 'red' }] });
+    // The gang waits for the image of its last task.
+    cluster.addWorker({ host: 'i-000004', imageMs: 60_000 });
+    await cluster.advance(3000);
+    const gang = { Ref: 'j-svc-g', Shape: 'ensemble', Rank: 'high', Shards: 5, Cpus: 8, GuessS: 30 };
+    await cluster.submit(gang);
+    const first = [0, 1, 2, 3, 4].find((shard) => cluster.runs(`j-svc-g/${shard}`).length > 0)!;
+    const name = `j-svc-g/${first}`;
+    const host = where(name);
+    const machine = cluster.workers.get(host)!;
+    machine.end(name, 'no_room');
+    const copy = JSON.parse(JSON.stringify(machine.report())) as unknown;
+    await until(() => cluster.runs(name).length === 2, 20_000);
+    assert.deepEqual([where(name), cluster.runs(name)[1]!.attempt], [host, 1]);
+    cluster.addWorker({ host: 'i-000009' });
+    await cluster.advance(2000);
+    // A new owner hears the copy before the machine itself, which no answer or command reaches for a while.
+    cluster.network.fault({ to: 'cloud:1', kind: 'status', status: 503, body: { error: 'trouble' } });
+    const owner = partOf(host);
+    cluster.deaf.add(host);
+    cluster.mute.add(host);
+    void cluster.restart(owner);
+    await until(() => cluster.node(owner).claims.holding(`part-${owner}`) !== undefined);
+    await cluster.advance(500);
+    void cluster.node(owner).hello(copy);
+    await cluster.advance(8500);
+    assert.equal(cluster.runs(name).length, 2);
+  });
+});
+
+describe('copies of all reports, up to a lease and a half late', () => {
+  it('free nothing wrongly and keep nothing waiting, while nodes restart and jobs are cancelled', async () => {
+    await ready(6, { nodes: 3, teams: [{ name: 'red', cpus_max: 10 }] });
+    cluster.lateReports = { share: 1, lateMs: [2000, 15_000] };
+    await cluster.submit({ ...service, Ref: 'j-svc', Shards: 2, Cpus: 1 });
+    for (let round = 0; round < 8; round++) {
+      void cluster.post(jobOf({ Ref: `j-a${round}`, Shards: 6, Cpus: 1 }), round % 3);
+      void cluster.post(jobOf({ ...service, Ref: `j-svc${round}`, Shards: 2 }), (round + 1) % 3);
+      await cluster.advance(2500);
+      void cluster.cancel(`j-svc${round}`, (round + 1) % 3);
+      // Tasks are moved, and sessions end too: what their copies say is older than what the machines do now.
+      for (const worker of cluster.workers.values()) worker.warningS = null;
+      cluster.workers.get(where('j-svc/0'))!.warningS = 1000;
+      if (round % 3 === 1) cluster.mute.add([...cluster.workers.keys()][0]!);
+      await cluster.advance(500);
+      void cluster.restart(round % 3, 0);
+      await cluster.advance(1500);
+      if (round % 3 === 0) cluster.mute.clear();
+    }
+    for (const worker of cluster.workers.values()) worker.warningS = null;
+    cluster.mute.clear();
+    await cluster.advance(15_000);
+    cluster.judge.troublesOver(cluster.clock.now());
+    await cluster.advance(30_000);
+    for (let round = 0; round < 8; round++) {
+      assert.equal(phase(await cluster.poll(`j-a${round}`)), 'done');
+      for (const shard of [0, 1]) assert.equal(cluster.overlaps(`j-svc${round}/${shard}`), 0);
+    }
+    assert.equal(phase(await cluster.withdraw('j-svc')), 'withdrawn');
+    const use = cluster.store.rows.get('live/team/red')!.value as { cpus: number };
+    assert.equal(use.cpus, 0);
+    const left = [...cluster.store.rows.keys()].filter((key) => /^live\/(job|ledger)\//.test(key));
+    assert.deepEqual(left, []);
+  });
+});
+
+describe('a leader and owner that ends', () => {
+  const four = [0, 1, 2, 3].map((n) => `j-svc${n}`);
+
+  it('while machines hear no answer: what they run ends in time, and comes up elsewhere only then', async () => {
+    await ready(6);
+    for (const Ref of four) await cluster.submit({ ...service, Ref });
+    const hosts = [...new Set(four.map((ref) => where(`${ref}/0`)))];
+    cluster.remember();
+    cluster.network.fault({ to: 'cloud:1', kind: 'status', status: 503, body: { error: 'trouble' } });
+    const leader = Number(cluster.node(0).claims.ownerOf('leader')!.slice(1));
+    const owner = partOf(hosts[0]!);
+    for (const host of hosts) cluster.deaf.add(host);
+    for (const node of new Set([leader, owner])) cluster.crash(node);
+    await cluster.advance(4000);
+    const other = [0, 1, 2].find((node) => node !== leader && node !== owner)!;
+    void cluster.cancel('j-svc0', other);
+    await cluster.advance(36_000);
+    assert.notEqual(cluster.runs('j-svc0/0')[0]!.to, undefined);
+    for (const ref of four.slice(1)) {
+      assert.equal(cluster.overlaps(`${ref}/0`), 0);
+      assert.equal(cluster.runs(`${ref}/0`).at(-1)!.to, undefined, `${ref} runs again`);
+      assert.equal(hosts.includes(where(`${ref}/0`)), false);
+    }
+    assert.ok(
+      cluster.store.rows.has('ended/j-svc0'),
+      'the place is free, though the machine never showed the new token',
+    );
+    cluster.deaf.clear();
+    await cluster.advance(8000);
+    for (const host of hosts) assert.ok(isOpen(other, host), `${host} is open again`);
+  });
+
+  it('while machines can not be reached: their tasks start elsewhere once the leases are proved over', async () => {
+    await ready(6);
+    for (const Ref of four) await cluster.submit({ ...service, Ref });
+    const hosts = [...new Set(four.map((ref) => where(`${ref}/0`)))];
+    cluster.network.fault({ to: 'cloud:1', kind: 'status', status: 503, body: { error: 'trouble' } });
+    const leader = Number(cluster.node(0).claims.ownerOf('leader')!.slice(1));
+    // The answers of its last moment are on their way when it ends.
+    const held = cluster.network.cut({ to: `n${leader}:8080` });
+    await cluster.advance(1500);
+    for (const host of hosts) cluster.cut.add(host);
+    held();
+    await cluster.advance(20);
+    cluster.crash(leader);
+    await cluster.advance(3000);
+    const other = (leader + 1) % 3;
+    void cluster.cancel('j-svc0', other);
+    // Two machines are reached again within their lease, the others after it.
+    await cluster.advance(3000);
+    cluster.cut.delete(hosts[1]!);
+    await cluster.advance(50_000);
+    for (const host of hosts) cluster.cut.delete(host);
+    await cluster.advance(8000);
+    for (const ref of four.slice(1)) {
+      assert.equal(cluster.overlaps(`${ref}/0`), 0);
+      assert.equal(cluster.runs(`${ref}/0`).at(-1)!.to, undefined, `${ref} runs again`);
+    }
+    assert.ok(cluster.store.rows.has('ended/j-svc0'));
+  });
+});
+
+describe('a zone with a controller that is cut off', () => {
+  it('for longer than a lease keeps no cancelled task, runs nothing twice, and comes back', async () => {
+    cluster = new Cluster({ nodes: 3 });
+    // The node inside answers for all machines of the zone.
+    for (let index = 10; index < 28; index++) {
+      const host = `i-0000${index}`;
+      cluster.addWorker({ host, site: ['a', 'b', 'c'][partOf(host)]!, runMs: 20_000 });
+    }
+    await cluster.advance(6000);
+    const refs = [0, 1, 2, 3, 4, 5].map((n) => `j-svc${n}`);
+    for (const [n, Ref] of refs.entries()) {
+      const more = n % 2 === 0 ? { Site: 'b' } : { Spread: true };
+      await cluster.submit({ ...service, ...more, Ref, Shards: 2, Cpus: 1 });
+    }
+    for (let n = 0; n < 3; n++) void cluster.post(jobOf({ Ref: `j-a${n}`, Shards: 4, Cpus: 1 }), n);
+    await cluster.advance(1000);
+    const inside = [...cluster.workers.values()].filter((worker) => worker.options.site === 'b');
+    assert.ok(inside.length >= 4);
+    const since = cluster.clock.now();
+    const heal = cluster.network.split(['n1', ...inside.map((worker) => worker.options.host)]);
+    await cluster.advance(300);
+    for (const ref of refs.slice(0, 3)) void cluster.cancel(ref, 0);
+    await cluster.advance(12_000);
+    assert.ok(
+      inside.some((worker) => [...worker.tasks.values()].some((task) => task.Phase === 'running')),
+      'the node inside keeps its workers alive beyond a lease',
+    );
+    await cluster.advance(40_000);
+    heal();
+    await cluster.advance(20_000);
+    for (const ref of refs) {
+      for (const shard of [0, 1]) assert.equal(cluster.overlaps(`${ref}/${shard}`), 0);
+    }
+    for (const ref of refs.slice(3)) {
+      for (const shard of [0, 1])
+        assert.equal(cluster.runs(`${ref}/${shard}`).at(-1)!.to, undefined, `${ref}/${shard}`);
+    }
+    for (let n = 0; n < 3; n++) assert.equal(phase(await cluster.poll(`j-a${n}`)), 'done');
+    for (const { options } of inside) assert.ok(isOpen(0, options.host), `${options.host} is open again`);
+    for (const { options } of inside)
+      for (const run of cluster.workers.get(options.host)!.history.filter((run) => run.from < since))
+        assert.ok((run.to ?? 0) - since < 36_000);
+  });
+});
