--- a/src/testing/drawn.ts
+++ b/src/testing/drawn.ts
@@ -14,8 +14,11 @@
 const NODES = 3;
 const MACHINES = 9;
 const SITES = ['a', 'b', 'c'];
-/** Tasks of this length end while the troubles last, or soon after. */
-const RUN_MS = 12_000;
+/** How long tasks run on a machine: they end while the troubles last, or only when a cancellation must have stopped them. */
+const RUNS_MS = [4000, 12_000, 60_000];
+/** ms around the begin of a trouble in which users cancel jobs. */
+const CANCEL_BEFORE_MS = 500;
+const CANCEL_AFTER_MS = 8000;
 
 /** A trouble of any kind, with the fields of all. */
 interface Trouble {
@@ -27,6 +30,8 @@
   share?: number;
   slowMs?: number;
   aloneMs?: number;
+  /** Whether its peers are cut off from the refused node too. */
+  withoutPeers?: 'never' | 'alone' | 'throughout';
   times?: number;
   count?: number;
   path?: string;
@@ -36,7 +41,8 @@
 export interface Schedule {
   seed: number;
   troubles: Trouble[];
-  cancelsMs: number[];
+  /** Users cancel a job each, so long after the begin of a trouble. */
+  cancels: { trouble: number; afterMs: number }[];
 }
 
 const node = fc.integer({ min: 0, max: NODES - 1 });
@@ -56,7 +62,12 @@
   trouble('storeOut', { forMs: fc.oneof(forMs, longMs) }),
   trouble('storeSlow', { forMs, slowMs: fc.integer({ min: 100, max: 2500 }) }),
   trouble('refused', { node, forMs }),
-  trouble('refusedThenOut', { node, aloneMs: fc.integer({ min: 200, max: 5000 }), forMs: longMs }),
+  trouble('refusedThenOut', {
+    node,
+    aloneMs: fc.integer({ min: 200, max: 5000 }),
+    forMs: longMs,
+    withoutPeers: fc.constantFrom('never', 'alone', 'throughout'),
+  }),
   trouble('lateWrites', { share, forMs }),
   trouble('lateReports', { share, forMs }),
   trouble('commandsHeld', { forMs: fc.integer({ min: 500, max: 12_000 }) }),
@@ -83,11 +94,17 @@
   trouble('oddRequests', { forMs: fc.constant(0) }),
 );
 
-/** Two or three troubles and their moments; some users always cancel. */
+/** Two or three troubles and their moments; users cancel jobs close to them. */
 export const schedules: fc.Arbitrary<Schedule> = fc.record({
   seed: fc.integer({ min: 1, max: 1_000_000 }),
   troubles: fc.array(anyTrouble, { minLength: 2, maxLength: 3 }),
-  cancelsMs: fc.array(fc.integer({ min: 0, max: SPELL_MS + 10_000 }), { minLength: 1, maxLength: 4 }),
+  cancels: fc.array(
+    fc.record({
+      trouble: fc.integer({ min: 0, max: 2 }),
+      afterMs: fc.integer({ min: -CANCEL_BEFORE_MS, max: CANCEL_AFTER_MS }),
+    }),
+    { minLength: 2, maxLength: 6 },
+  ),
 });
 
 /** ms until nothing is left of a trouble. */
@@ -101,11 +118,11 @@
   private readonly cluster = new Cluster({
     nodes: NODES,
     teams: [
-      { name: 'red', cpus: 16, cpus_max: 24 },
+      { name: 'red', cpus: 8, cpus_max: 16 },
       { name: 'blue', cpus: 16 },
     ],
     bootMs: 4000,
-    runMs: RUN_MS,
+    runMs: RUNS_MS[0]!,
   });
   private readonly random: Random;
   private submitted = 0;
@@ -119,13 +136,16 @@
     const { cluster, schedule } = this;
     const { clock } = cluster;
     for (let n = 0; n < MACHINES; n++) {
-      const runMs = Math.round(this.random.jitter(RUN_MS, 0.5));
+      const runMs = Math.round(this.random.jitter(RUNS_MS[this.random.below(RUNS_MS.length)]!));
       cluster.addWorker({ host: `i-${String(n).padStart(6, '0')}`, site: SITES[n % 3]!, runMs });
     }
     await cluster.advance(READY_MS);
     this.submitSome();
     for (let ms = 4000; ms <= SPELL_MS; ms += 8000) clock.after(ms, () => this.submitSome());
-    for (const ms of schedule.cancelsMs) clock.after(ms, () => this.cancelSome(1));
+    for (const { trouble, afterMs } of schedule.cancels) {
+      const { atMs } = schedule.troubles[trouble % schedule.troubles.length]!;
+      clock.after(atMs + afterMs, () => this.cancelSome(1));
+    }
     let lastMs = SPELL_MS;
     for (const trouble of schedule.troubles) {
       lastMs = Math.max(lastMs, trouble.atMs + lastsMs(trouble));
@@ -149,6 +169,8 @@
     job({ Shape: 'ensemble', Rank: 'high', Shards: 3, Cpus: 3, OneZone: this.random.float() < 0.5 });
     job({ Shards: 1 + this.random.below(4), OneZone: this.random.float() < 0.3 });
     job({ Shards: 2, Site: SITES[this.random.below(3)], Rank: 'low' });
+    // They come to all nodes at once, and their team is at its limit.
+    for (let n = 0; n < 3; n++) job({ Shards: 1 + this.random.below(3), Owner: 'red' });
   }
 
   /** Users cancel jobs that are not over, as far as they know. */
@@ -190,10 +212,11 @@
         ms,
       );
     const parted = peers.flatMap((peer) => [`${name}>${peer}`, `${peer}>${name}`]);
-    const meshCut = () =>
+    const meshCut = (ms = forMs) =>
       during(
         () => parted.forEach((pair) => cluster.parted.add(pair)),
         () => parted.forEach((pair) => cluster.parted.delete(pair)),
+        ms,
       );
     const storeOut = () =>
       during(
@@ -215,6 +238,8 @@
         );
       case 'refusedThenOut':
         store.refused.add(name);
+        if (trouble.withoutPeers === 'alone') void meshCut(aloneMs);
+        if (trouble.withoutPeers === 'throughout') void meshCut(aloneMs + forMs);
         await clock.sleep(aloneMs);
         await storeOut();
         store.refused.delete(name);
