Stories of jobs' meetings: last tasks, team limits, slow stores, lost zones, users

The stand-in of the network makes calls slow, and heals; workers fail single tasks. The guards stood already in all of these.

--- a/src/testing/fake-network.ts
+++ b/src/testing/fake-network.ts
@@ -71,6 +71,11 @@
     return () => (this.faults = this.faults.filter((each) => each !== fault));
   }
 
+  /** Ends all faults; what is held stays held. */
+  heal(): void {
+    this.faults = [];
+  }
+
   /** A cut that holds messages. Returns what ends it and delivers them. */
   cut(where: { from?: string; to?: string; path?: RegExp }): () => void {
     const fault: Fault = { ...where, kind: 'hold' };
--- a/src/testing/fake-worker.ts
+++ b/src/testing/fake-worker.ts
@@ -63,6 +63,8 @@
   imageMs?: number;
   /** Every task that starts here fails. */
   sick?: boolean;
+  /** Tasks that fail here, like those of a job that was submitted with a mistake. */
+  fails?: (shard: string) => boolean;
 }
 
 export interface Room {
@@ -176,7 +178,8 @@
     }
     if (!this.hangs) {
       for (const [shard, task] of this.tasks) {
-        if (task.Phase === 'running' && this.options.sick) this.end(shard, 'error');
+        if (task.Phase === 'running' && (this.options.sick === true || this.options.fails?.(shard) === true))
+          this.end(shard, 'error');
         else if (now >= task.dueAt) this.step(shard, task);
       }
     }
--- a/test/input.test.ts
+++ b/test/input.test.ts
@@ -3,7 +3,7 @@
 import { Cluster, jobOf, type ClusterOptions } from '../src/testing/cluster.js';
 
 let cluster: Cluster;
-afterEach(() => cluster.stop());
+afterEach(() => assert.deepEqual(cluster.verdict(), []));
 
 async function ready(options: ClusterOptions = {}, machines = 2): Promise<Cluster> {
   cluster = new Cluster(options);
@@ -15,7 +15,7 @@
 }
 
 const body = (answer: { body: unknown }) => answer.body as { Phase: string; done: number };
-const send = (sent: unknown, node = 0) => cluster.during(cluster.node(node).jobs.submit(sent));
+const send = (sent: unknown, node = 0) => cluster.during(cluster.post(sent, node));
 const without = (fields: object, name: string): object =>
   Object.fromEntries(Object.entries(fields).filter(([key]) => key !== name));
 
@@ -168,10 +168,10 @@
     cluster.store.out = true;
     await cluster.advance(4000);
     for (const ask of [
-      () => cluster.node(1).jobs.poll('j-nobody'),
-      () => cluster.node(1).jobs.withdraw('j-nobody'),
-      () => cluster.node(1).jobs.submit(jobOf({ Ref: 'j-nobody' })),
-      () => cluster.node(1).jobs.submit({ Ref: 'j-nobody' }),
+      () => cluster.ask('j-nobody', 1),
+      () => cluster.cancel('j-nobody', 1),
+      () => cluster.post(jobOf({ Ref: 'j-nobody' }), 1),
+      () => cluster.post({ Ref: 'j-nobody' }, 1),
     ]) {
       const answer = await cluster.during(ask(), 10);
       assert.equal(answer.status, 503);
--- /dev/null
+++ b/test/meetings-jobs.test.ts
@@ -0,0 +1,331 @@
+import assert from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+import type { Answer } from '../src/api/jobs.js';
+import { Cluster, jobOf, type ClusterOptions } from '../src/testing/cluster.js';
+
+/** Meetings of two troubles on the way of users' jobs; each story ends with the judge's verdict. */
+let cluster: Cluster;
+afterEach(() => assert.deepEqual(cluster.verdict(), []));
+
+async function ready(options: ClusterOptions = {}, machines = 3, runMs = 5000): Promise<Cluster> {
+  stormy = false;
+  cluster = new Cluster({ nodes: 3, ...options });
+  for (let index = 0; index < machines; index++) {
+    cluster.addWorker({ host: `i-00000${index}`, site: ['a', 'b', 'c'][index % 3]!, runMs });
+  }
+  await cluster.advance(5000);
+  return cluster;
+}
+
+const body = (answer: Answer) => answer.body as { Phase: string; done: number; running: number };
+const phase = async (ref: string, node = 0) => body(await cluster.poll(ref, node)).Phase;
+const service = { Shape: 'service', Rank: 'prod', GuessS: 0 };
+const running = (ref: string) =>
+  [...cluster.workers.values()].flatMap((worker) =>
+    [...worker.tasks].filter(([name, task]) => name.startsWith(`${ref}/`) && task.Phase === 'running'),
+  ).length;
+
+/** What users do at some time from now. */
+function after(ms: number, act: () => unknown): void {
+  void cluster.clock.sleep(ms).then(act);
+}
+
+let stormy = false;
+/** The store takes that long from now on, changing from moment to moment. */
+function slowStore(least: number, most: number): void {
+  stormy = true;
+  const change = (turn: number) => {
+    if (!stormy) return;
+    cluster.store.slowMs = least + ((turn * 7919) % (most - least));
+    after(130, () => change(turn + 1));
+  };
+  change(1);
+}
+
+function heal(): void {
+  stormy = false;
+  cluster.store.slowMs = 0;
+  cluster.network.heal();
+}
+
+/** Users ask about the jobs every 5 s, each time another node, until the story ends. */
+function askAll(refs: readonly string[], forMs: number): Map<string, Answer[]> {
+  const answers = new Map<string, Answer[]>(refs.map((ref) => [ref, []]));
+  for (const [at, ref] of refs.entries()) {
+    for (let turn = 0; turn * 5000 < forMs; turn++) {
+      after(turn * 5000 + ((at * 370) % 5000), async () =>
+        answers.get(ref)!.push(await cluster.ask(ref, (at + turn) % 3)),
+      );
+    }
+  }
+  return answers;
+}
+
+describe('the end of a last task', () => {
+  const troubles: Record<string, () => void> = {
+    'with no other trouble': () => undefined,
+    'and lost answers': () => {
+      for (let n = 0; n < 8; n++) {
+        after(4500 + n * 550, () =>
+          cluster.network.fault({ from: `n${n % 3}`, path: /^\/txn/, kind: 'answerLost', times: 2 }),
+        );
+      }
+    },
+    'and transactions carried out late': () => {
+      for (let n = 0; n < 6; n++) {
+        after(4500 + n * 700, () =>
+          cluster.network.fault({ from: `n${n % 3}`, path: /^\/txn/, kind: 'hold', times: 1 }),
+        );
+        after(7500 + n * 1900, () => cluster.network.release());
+      }
+    },
+    'and a slow store': () => {
+      slowStore(200, 900);
+    },
+  };
+  for (const [name, begin] of Object.entries(troubles)) {
+    it(`meets cancellations, questions and repeated submissions, ${name}: one end is told`, async () => {
+      await ready({ teams: [{ name: 'red' }] });
+      begin();
+      const refs = Array.from({ length: 40 }, (_, n) => `j-end${n}`);
+      for (const [n, ref] of refs.entries()) {
+        const job = jobOf({ Ref: ref, Cpus: 0.1, MemGb: 0.1, Shards: 1 + (n % 2) });
+        void cluster.post(job, n % 3);
+        const at = 4600 + n * 60;
+        after(at, () => cluster.cancel(ref, n % 3));
+        for (const late of [0, 150, 400, 1200]) {
+          after(at + late, () => cluster.ask(ref, (n + 1) % 3));
+          after(at + late, () => cluster.post(job, (n + 2) % 3));
+          after(at + late + 50, () => cluster.cancel(ref, (n + 1) % 3));
+        }
+      }
+      await cluster.advance(30_000);
+      heal();
+      cluster.judge.troublesOver(cluster.clock.now());
+      await cluster.advance(10_000);
+      const ends = new Set<string>();
+      for (const ref of refs) {
+        const phases = await Promise.all([0, 1, 2].map((node) => phase(ref, node)));
+        assert.equal(new Set(phases).size, 1, `${ref}: ${phases.join(' ')}`);
+        ends.add(phases[0]!);
+        assert.deepEqual(
+          [...cluster.store.rows.keys()].filter((key) => key.endsWith(`/${ref}`) || key.includes(`/${ref}/`)),
+          [`ended/${ref}`],
+        );
+      }
+      assert.deepEqual([...ends].sort(), ['done', 'withdrawn'], 'the moments lie on both sides');
+    });
+  }
+});
+
+describe('a team at its limit', () => {
+  const teams = [{ name: 'red', cpus: 4, cpus_max: 6 }];
+  for (const cancelAt of [0, 700, 2500, 6000]) {
+    it(`whose leader ends, with machines out of reach and a cancellation ${cancelAt} ms later, neither leaks nor exceeds`, async () => {
+      await ready({ teams }, 6);
+      for (let n = 0; n < 3; n++) await cluster.submit({ ...service, Ref: `j-svc${n}` }, n);
+      for (let n = 0; n < 4; n++) await cluster.submit({ Ref: `j-more${n}`, Shards: 2 }, n % 3);
+      const lost = [0, 1].map((n) => cluster.runs(`j-svc${n}/0`)[0]!.host);
+      const cloudBack = cluster.network.fault({
+        to: 'cloud:1',
+        kind: 'status',
+        status: 503,
+        body: { error: 'trouble' },
+      });
+      cluster.remember();
+      for (const host of lost) cluster.cut.add(host);
+      for (let turn = 0; turn < 3; turn++) {
+        const old = cluster.leader()!;
+        // Answers of the others' transactions get lost while they take over, and one of them comes late.
+        for (let n = 0; n < 3; n++) {
+          if (n !== old)
+            cluster.network.fault({
+              from: `n${n}`,
+              path: /^\/txn/,
+              kind: n === turn ? 'hold' : 'answerLost',
+              times: 2,
+            });
+        }
+        cluster.crash(old);
+        after(cancelAt, () => cluster.cancel(`j-svc${turn}`, (old + 1) % 3));
+        after(cancelAt + 2500, () => cluster.cancel(`j-svc${turn}`, (old + 2) % 3));
+        await cluster.advance(4000);
+        cluster.network.release();
+        cluster.start(old);
+        await cluster.advance(6000);
+        cluster.network.release();
+      }
+      cloudBack();
+      for (const host of lost) cluster.cut.delete(host);
+      await cluster.advance(5000);
+      for (let n = 0; n < 3; n++) await cluster.withdraw(`j-svc${n}`, n);
+      cluster.judge.troublesOver(cluster.clock.now());
+      const refs = [0, 1, 2, 3].map((n) => `j-more${n}`);
+      askAll(refs, 100_000);
+      await cluster.advance(100_000);
+      for (const ref of refs) assert.equal(await phase(ref), 'done');
+      const team = cluster.store.rows.get('live/team/red')?.value as { cpus: number };
+      assert.equal(team.cpus, 0);
+    });
+  }
+});
+
+describe('a team whose jobs come to nodes that do not hear each other', () => {
+  it('never exceeds its limit, though no copy is up to date', async () => {
+    await ready({ teams: [{ name: 'red', cpus: 4, cpus_max: 6 }] }, 6);
+    for (const from of [0, 1, 2]) for (const to of [0, 1, 2]) cluster.parted.add(`n${from}>n${to}`);
+    slowStore(300, 900);
+    const refs = Array.from({ length: 9 }, (_, n) => `j-same${n}`);
+    for (const [n, ref] of refs.entries()) void cluster.post(jobOf({ Ref: ref, Shards: 2, Rank: 'prod' }), n % 3);
+    await cluster.advance(60_000);
+    heal();
+    cluster.parted.clear();
+    cluster.judge.troublesOver(cluster.clock.now());
+    askAll(refs, 95_000);
+    await cluster.advance(95_000);
+    for (const ref of refs) assert.equal(await phase(ref), 'done');
+  });
+});
+
+describe('more work than room', () => {
+  for (const ms of [
+    [200, 400],
+    [300, 700],
+    [500, 1000],
+  ] as [number, number][]) {
+    it(`urgent and not, over links to the store of ${ms.join(' to ')} ms: holds are kept, users are answered, all is done`, async () => {
+      await ready({ teams: [{ name: 'red' }, { name: 'blue', cpus: 8, cpus_max: 16 }] });
+      for (const zone of ['a', 'b', 'c']) cluster.cloud.full.add(zone);
+      const owners = () => ['leader', 'part-0', 'part-1', 'part-2'].map((role) => cluster.node(0).claims.ownerOf(role));
+      const before = owners();
+      slowStore(...ms);
+      await cluster.advance(3000);
+      const refs: string[] = [];
+      for (let n = 0; n < 24; n++) {
+        const ref = `j-mix${n}`;
+        refs.push(ref);
+        const kinds = [
+          { Rank: 'low', Shards: 6 },
+          { Rank: 'normal', Shards: 4, Owner: 'blue' },
+          { Rank: 'high', Shape: 'ensemble', Shards: 5 },
+          { Rank: 'prod', Shards: 2 },
+        ];
+        after(n * 300, () => cluster.post(jobOf({ Ref: ref, ...kinds[n % 4] }), n % 3));
+      }
+      await cluster.advance(12_000);
+      let up = 0;
+      for (let turn = 0; turn < 80; turn++) {
+        after(turn * 250, () => {
+          for (const node of [0, 1, 2]) if (cluster.node(node).up().status === 200) up++;
+        });
+      }
+      const answers = askAll(refs, 150_000);
+      await cluster.advance(150_000);
+      const all = [...answers.values()].flat();
+      const good = all.filter(({ status }) => status === 200).length;
+      assert.ok(good > 0.9 * all.length, `${good} of ${all.length} questions answered`);
+      assert.ok(up > 0.95 * 240, `${up} of 240 looks found a node up`);
+      assert.deepEqual(owners(), before, 'no hold was lost');
+      for (const ref of refs) assert.equal(await phase(ref), 'done', ref);
+    });
+  }
+});
+
+describe('jobs bound to one zone', () => {
+  const shapes: Record<string, object> = {
+    'an array in one zone': { OneZone: true, Shards: 6 },
+    'an array of one site': { Site: 'a', Shards: 6 },
+    'a spread array': { Spread: true, Shards: 6 },
+    'a gang in one zone': { OneZone: true, Shape: 'ensemble', Shards: 4 },
+    'a service in one zone': { ...service, Ref: 'j-svc-z', OneZone: true, Shards: 3 },
+    'a spread service': { ...service, Ref: 'j-svc-z', Spread: true, Shards: 4 },
+  };
+  for (const [name, fields] of Object.entries(shapes)) {
+    for (const cloudDown of [true, false]) {
+      it(`like ${name} lose all machines of a zone, the cloud ${cloudDown ? 'silent' : 'well'}`, async () => {
+        await ready({ teams: [{ name: 'red' }] }, 0);
+        for (let n = 0; n < 4; n++) cluster.addWorker({ host: `i-00001${n}`, site: n < 2 ? 'a' : 'b', runMs: 9000 });
+        await cluster.advance(3000);
+        const job = { Ref: 'j-zone', GuessS: 9, ...fields };
+        await cluster.submit(job, 1);
+        await cluster.advance(1000);
+        const [first] = cluster.runs(`${job.Ref}/0`);
+        const site = cluster.workers.get(first!.host)!.options.site!;
+        const lost = [...cluster.workers.values()].filter((worker) => worker.options.site === site);
+        const cloudBack = cloudDown
+          ? cluster.network.fault({ to: 'cloud:1', kind: 'status', status: 503, body: { error: 'trouble' } })
+          : () => undefined;
+        cluster.remember();
+        // One of them is only out of reach: its tasks go on until its lease ends.
+        for (const { options } of lost) cluster.cut.add(options.host);
+        const old = cluster.leader()!;
+        cluster.crash(old);
+        await cluster.advance(9000);
+        cluster.start(old);
+        await cluster.advance(31_000);
+        cloudBack();
+        if ('Site' in fields || 'Spread' in fields) cluster.addWorker({ host: 'i-000020', site, runMs: 9000 });
+        await cluster.advance(3000);
+        cluster.judge.troublesOver(cluster.clock.now());
+        askAll([job.Ref], 100_000);
+        await cluster.advance(100_000);
+        const state = body(await cluster.poll(job.Ref));
+        if (job.Ref === 'j-svc-z') assert.equal(running(job.Ref), (fields as { Shards: number }).Shards);
+        else assert.equal(state.Phase, 'done', JSON.stringify(state));
+      });
+    }
+  }
+});
+
+describe('users who cancel and ask', () => {
+  for (const slow of [
+    [100, 300],
+    [400, 900],
+  ] as [number, number][]) {
+    it(`while the store is slow (${slow.join(' to ')} ms), refuses the leader, then all for longer than cancel_s`, async () => {
+      await ready({ teams: [{ name: 'red' }] }, 6, 90_000);
+      const refs = Array.from({ length: 12 }, (_, n) => `j-ask${n}`);
+      for (const [n, ref] of refs.entries()) {
+        await cluster.submit({ Ref: ref, Cpus: 1, MemGb: 1, Shards: 2 }, n % 3);
+      }
+      const answers = askAll(refs, 150_000);
+      slowStore(...slow);
+      await cluster.advance(6000);
+      const alone = `n${cluster.leader()!}`;
+      cluster.store.refused.add(alone);
+      // A cancellation that the store carries out and whose answer nobody gets.
+      cluster.network.fault({ from: `n${(cluster.leader()! + 1) % 3}`, path: /^\/txn/, kind: 'answerLost', times: 1 });
+      for (let n = 0; n < 6; n++) {
+        for (let again = 0; again < 40; again++) {
+          after(n * 500 + again * 2000, () => cluster.cancel(refs[n]!, (n + again) % 3));
+        }
+      }
+      await cluster.advance(2600);
+      cluster.store.out = true;
+      const late: Answer[] = [];
+      for (let n = 0; n < 20; n++) {
+        after(4000 + n * 1500, async () => {
+          const began = cluster.clock.now();
+          late.push(await cluster.ask(refs[6 + (n % 6)]!, n % 3));
+          assert.ok(cluster.clock.now() - began < 50, 'told at once');
+        });
+      }
+      await cluster.advance(45_000);
+      for (const answer of late) {
+        assert.ok(answer.status === 503 && (answer.retryAfter ?? 0) >= 1, JSON.stringify(answer));
+      }
+      cluster.store.refused.clear();
+      cluster.store.endOutage();
+      heal();
+      cluster.judge.troublesOver(cluster.clock.now());
+      await cluster.advance(4000);
+      for (const node of [0, 1, 2]) {
+        const known = await cluster.during(Promise.all(refs.map((ref) => cluster.ask(ref, node))), 1000);
+        for (const [n, answer] of known.entries()) assert.equal(answer.status, 200, `${refs[n]} at n${node}`);
+      }
+      await cluster.advance(90_000);
+      for (const [n, ref] of refs.entries()) assert.equal(await phase(ref), n < 6 ? 'withdrawn' : 'done', ref);
+      assert.ok([...answers.values()].every((list) => list.length > 0));
+    });
+  }
+});
