--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -151,11 +151,15 @@
     const now = this.clock.now();
     const list: Waiting[] = [];
     const flying = this.flying.get(view.ref);
+    const gang = spec.Shape === 'ensemble';
     for (const shard of view.queued) {
-      if (list.length >= most) break;
+      if (list.length >= most && !gang) break;
       const slot = view.slot(shard);
-      if (slot.kind !== 'queued' || flying?.has(shard) === true) continue;
-      if (slot.fails > 0 && this.pausedUntil(shardName(view.ref, shard), slot, now) > now) continue;
+      const open = slot.kind === 'queued' && flying?.has(shard) !== true;
+      if (!open || (slot.fails > 0 && this.pausedUntil(shardName(view.ref, shard), slot, now) > now)) {
+        if (gang) return [];
+        continue;
+      }
       list.push({ view, shard, slot });
     }
     return list;
--- a/test/meetings-jobs.test.ts
+++ b/test/meetings-jobs.test.ts
@@ -329,3 +329,44 @@
     });
   }
 });
+
+describe('once troubles are over', () => {
+  it('a gang is done though one machine was given up before another told of the end', async () => {
+    await ready({ teams: [{ name: 'red' }] }, 2, 12_000);
+    await cluster.submit({ Ref: 'j-gang', Shape: 'ensemble', Shards: 2, Cpus: 8, Rank: 'high' });
+    const [first, second] = [0, 1].map((shard) => cluster.runs(`j-gang/${shard}`)[0]!);
+    const end = first!.from + 12_000;
+    cluster.remember();
+    await cluster.advance(end - 4000 - cluster.clock.now());
+    cluster.cut.add(first!.host);
+    await cluster.advance(2500);
+    cluster.cut.add(second!.host);
+    while (!cluster.cloud.returned.includes(first!.host)) await cluster.advance(100);
+    assert.ok(cluster.clock.now() > end, 'its task is through by then');
+    await cluster.advance(1000);
+    cluster.cut.delete(second!.host);
+    await cluster.advance(5000);
+    assert.deepEqual(cluster.cloud.returned, [first!.host]);
+    assert.equal(await phase('j-gang'), 'done');
+  });
+
+  it('a gang waits for the pause of a member that has failed, and starts whole', async () => {
+    await ready({ teams: [{ name: 'red' }] }, 0);
+    for (const zone of ['a', 'b', 'c']) cluster.cloud.full.add(zone);
+    await cluster.submit({ Ref: 'j-gang', Shape: 'ensemble', Shards: 4, Rank: 'high' });
+    // As after an attempt that one member's error ended, not its first.
+    const V = {
+      s: [
+        [1, 0],
+        [1, 0],
+        [1, 4],
+        [1, 0],
+      ],
+    };
+    await cluster.store.handle('POST', '/txn', { Apply: [{ Set: 'live/ledger/j-gang/0000', V }] });
+    for (const host of ['i-000011', 'i-000012']) cluster.addWorker({ host, runMs: 30_000 });
+    await cluster.advance(25_000);
+    const from = [0, 1, 2, 3].map((shard) => cluster.runs(`j-gang/${shard}`)[0]!.from);
+    assert.ok(Math.max(...from) - Math.min(...from) < 1500, from.join(' '));
+  });
+});
