--- a/src/ledger/edits.ts
+++ b/src/ledger/edits.ts
@@ -88,13 +88,6 @@
 
 export type Ending = 'done' | 'failed' | 'lost';
 
-/** Members that were given up as lost just before the first end was heard have completed with it: nothing starts them again. */
-function completeGang(draft: Draft, job: JobRecord): void {
-  for (const [shard, { kind }] of [...readSlots(draft, job)].entries()) {
-    if (kind === 'queued') editSlot(draft, job, shard, () => ({ kind: 'done' }));
-  }
-}
-
 /** Frees a place on proof, and records how the task ended. */
 export function freeShard(
   draft: Draft,
@@ -116,7 +109,6 @@
     if (complete) return { kind: 'done' };
     return { kind: 'queued', attempt: slot.attempt, fails: ending === 'failed' ? slot.fails + 1 : slot.fails };
   });
-  if (freed && complete && job.spec.Shape === 'ensemble') completeGang(draft, job);
   const team = teams.get(job.spec.Owner);
   if (freed && team !== undefined) addUse(draft, team, job, -1);
   return freed;
