--- a/src/placement/queue.ts
+++ b/src/placement/queue.ts
@@ -81,5 +81,7 @@
   if (a.guaranteed !== b.guaranteed) return a.guaranteed ? -1 : 1;
   if (a.feasible !== b.feasible) return a.feasible ? -1 : 1;
   if (a.record.spec.Shape === 'array' && a.work !== b.work) return a.work - b.work;
-  return a.record.at - b.record.at;
+  if (a.record.at !== b.record.at) return a.record.at - b.record.at;
+  // Every node makes the whole plan: where orders differ, each leaves a team's room to a job that another node is to place.
+  return a.record.spec.Ref < b.record.spec.Ref ? -1 : 1;
 }
--- /dev/null
+++ b/test/disagreement.test.ts
@@ -0,0 +1,21 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { play, type Schedule } from '../src/testing/drawn.js';
+
+describe('two jobs of a team that has room for one of them', () => {
+  // Drawn as seed 4074. Each node leaves the team's room to the job of the other, since their orders differ.
+  it('do not wait for each other for ever', async () => {
+    const schedule = {
+      seed: 11,
+      troubles: [
+        { kind: 'refused', atMs: 6436, node: 1, forMs: 6933 },
+        { kind: 'lateReports', atMs: 19996, share: 0.1678187363524589, forMs: 10905 },
+      ],
+      cancels: [
+        { trouble: 1, afterMs: -7 },
+        { trouble: 0, afterMs: 4736 },
+      ],
+    } as Schedule;
+    assert.deepEqual(await play(schedule), []);
+  });
+});
