Plans leave two thirds of the time to reports; no part is matched anew while services wait

What died then counts as unhappy, so that parts were matched anew just when starts and reports needed the time.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -367,6 +367,9 @@
  */
 export const MAX_PLAN_REST_MS = 800;
 
+/** Times as long as a plan took that the next one waits at least: a node short of processor time must hear reports in between. */
+export const PLAN_REST_LEAST = 2;
+
 /** ms between two preemption rounds: the exits of the last must have been seen. */
 export const PREEMPT_PERIOD_MS = 200;
 
--- a/src/controller/mover.ts
+++ b/src/controller/mover.ts
@@ -39,11 +39,23 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.clock.sleep(this.random.jitter(this.tuning.check_s * 1000), signal);
-      if (signal.aborted || !this.claims.inTouch) continue;
+      if (signal.aborted || !this.claims.inTouch || this.othersComeFirst()) continue;
       for (const part of this.claims.ownedParts()) this.round(part);
     }
   }
 
+  /**
+   * More service tasks without any place than a round would move: they come first. After an outage or a lost zone all that
+   * have died count as unhappy, and matching a whole part anew takes the time that the starts and the reports need.
+   */
+  private othersComeFirst(): boolean {
+    let waiting = 0;
+    for (const { record, placed } of this.book.jobs.values()) {
+      if (record.spec.Shape === 'service' && record.phase === 'active') waiting += record.spec.Shards - placed;
+    }
+    return waiting > this.tuning.moves_per_round;
+  }
+
   private round(part: number): void {
     const now = this.clock.now();
     const machines = [...this.fleet.all().values()].filter(
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -3,6 +3,7 @@
   MAX_PLAN_REST_MS,
   MAX_PLAN_TASKS,
   MAX_UNPLACED,
+  PLAN_REST_LEAST,
   PLAN_GATHER_MS,
   PLAN_GLANCE,
   PLAN_TICK_MS,
@@ -399,8 +400,11 @@
     this.plan();
     const now = this.clock.now();
     // Changes come by the dozen a second: a plan that takes long is made more rarely, and takes them together.
-    const rest = (share: number) => Math.min(MAX_PLAN_REST_MS, (now - began) * (1 / share - 1));
-    this.restUntil = now + rest(WORK_SHARE);
-    this.urgentRestUntil = now + rest(URGENT_WORK_SHARE);
+    this.restUntil = now + planRestMs(now - began, WORK_SHARE);
+    this.urgentRestUntil = now + planRestMs(now - began, URGENT_WORK_SHARE);
   }
 }
+
+/** ms from the end of a plan that took so long to the next, which may take a share of the time. */
+export const planRestMs = (tookMs: number, share: number): number =>
+  Math.max(Math.min(MAX_PLAN_REST_MS, tookMs * (1 / share - 1)), tookMs * PLAN_REST_LEAST);
--- /dev/null
+++ b/test/overload.test.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { DEFAULT_TUNING, MAX_PLAN_REST_MS, PLAN_REST_LEAST, WORK_SHARE } from '../src/constants.js';
+import type { Claims } from '../src/controller/claims.js';
+import type { Fleet } from '../src/controller/fleet.js';
+import { Mover } from '../src/controller/mover.js';
+import { planRestMs, type Planner } from '../src/controller/planner.js';
+import type { Book } from '../src/ledger/book.js';
+import { Random } from '../src/net/random.js';
+import { Happiness } from '../src/placement/happiness.js';
+import type { Committer } from '../src/state/committer.js';
+import { FakeClock } from '../src/testing/fake-clock.js';
+
+describe('a node short of processor time', () => {
+  it('rests after a plan by the share that plans may take, and after a long one for longer than it took', () => {
+    assert.equal(planRestMs(1, WORK_SHARE), 99);
+    assert.equal(planRestMs(100, WORK_SHARE), MAX_PLAN_REST_MS);
+    assert.equal(planRestMs(1300, WORK_SHARE), 1300 * PLAN_REST_LEAST, 'two thirds of the time are left to reports');
+  });
+
+  it('matches no part anew while more services have no place than a round would move', async () => {
+    const clock = new FakeClock();
+    const stop = new AbortController();
+    let placed = 1;
+    let looks = 0;
+    const record = { spec: { Shape: 'service', Shards: 5 }, phase: 'active' };
+    const jobs = { values: () => [{ record, placed }] };
+    const fleet = { all: () => (looks++, new Map()), isOpen: () => true };
+    const mover = new Mover(
+      DEFAULT_TUNING,
+      { inTouch: true, ownedParts: () => [0], partOf: () => 0 } as unknown as Claims,
+      { jobs, placesOn: () => [] } as unknown as Book,
+      fleet as unknown as Fleet,
+      {} as Planner,
+      {} as Committer,
+      new Happiness(30_000),
+      clock,
+      new Random(1),
+      { error: () => undefined, warn: () => undefined, info: () => undefined, debug: () => undefined },
+    );
+    void mover.run(stop.signal);
+    await clock.advance(60_000);
+    assert.equal(looks, 0);
+    placed = 4;
+    await clock.advance(60_000);
+    assert.ok(looks >= 4, `${looks} looks once no more than two wait`);
+    stop.abort();
+  });
+});
