--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -35,7 +35,7 @@
 import { Happiness } from '../placement/happiness.js';
 import { StateClient, type Change } from '../state/client.js';
 import { Committer, txnLimits } from '../state/committer.js';
-import { Replica } from '../state/replica.js';
+import { readChanges, Replica } from '../state/replica.js';
 import { decodeReport, type Report } from '../workers/report.js';
 import { silenceLimitMs } from '../workers/worker.js';
 import { Claims, LEADER, partRole } from './claims.js';
@@ -326,11 +326,7 @@
     let read: Change[];
     try {
       // All or nothing: a transaction's changes belong together.
-      read = changes.map(({ key, value, stamp }) => ({
-        key,
-        value: value === null ? undefined : (JSON.parse(value) as unknown),
-        stamp,
-      }));
+      read = readChanges(changes);
     } catch (error) {
       this.log.warn({ error: String(error) }, 'news of a peer can not be read');
       void this.replica.refresh();
--- a/src/mesh/coverage.ts
+++ b/src/mesh/coverage.ts
@@ -1,6 +1,6 @@
 import { CLOCK_DRIFT, DELTA_BYTES, FRESH_MS } from '../constants.js';
 import type { Clock } from '../net/clock.js';
-import type { Replica } from '../state/replica.js';
+import { readChanges, type Replica } from '../state/replica.js';
 import type { Delta, Gossip, Message } from './messages.js';
 
 /** A state of a peer's copy: its process, and how many changes that had taken in. */
@@ -76,12 +76,7 @@
   }
 
   take({ node, life, version, from, upTo, whole, changes }: Delta): void {
-    const told = changes.map(({ key, value, stamp }) => ({
-      key,
-      value: value === null ? undefined : (JSON.parse(value) as unknown),
-      stamp,
-    }));
-    if (!this.coveredAt.has(node) || !this.replica.takeSince(from, upTo, told)) return;
+    if (!this.coveredAt.has(node) || !this.replica.takeSince(from, upTo, readChanges(changes))) return;
     if (whole) this.merged.set(node, { life, version });
     else this.ask(node);
   }
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -208,107 +208,34 @@
   | { ask: Ask }
   | { delta: Delta };
 
-const changesSchema = {
-  type: 'array',
-  items: {
-    type: 'record',
-    name: 'RecordChange',
-    fields: [
-      { name: 'key', type: 'string' },
-      { name: 'value', type: ['null', 'string'] },
-      { name: 'stamp', type: 'long' },
-    ],
-  },
-} satisfies avro.Schema;
+/** A record of fields, each with the name of its Avro type or the type itself. */
+const record = (name: string, fields: Record<string, avro.Schema>): avro.Schema => ({
+  type: 'record',
+  name,
+  fields: Object.entries(fields).map(([field, type]) => ({ name: field, type })),
+});
+
+const change = record('RecordChange', { key: 'string', value: ['null', 'string'], stamp: 'long' });
+
+/** Exactly one of them is there. */
+const kinds: Record<string, avro.Schema> = {
+  gossip: gossipSchema,
+  relay: record('Relay', { node: 'string', id: 'long', report: 'string' }),
+  relayAnswer: record('RelayAnswer', { node: 'string', id: 'long', status: 'int', body: 'string' }),
+  news: record('News', { changes: { type: 'array', items: change } }),
+  ask: record('Ask', { node: 'string', from: 'long' }),
+  delta: record('Delta', {
+    ...{ node: 'string', life: 'long', version: 'long', from: 'long', upTo: 'long', whole: 'boolean' },
+    changes: { type: 'array', items: 'RecordChange' },
+  }),
+};
 
 const envelope = avro.Type.forSchema({
   type: 'record',
   name: 'Envelope',
   namespace: 'dewlatch.mesh.v3',
-  fields: [
-    { name: 'gossip', type: ['null', gossipSchema], default: null },
-    {
-      name: 'relay',
-      type: [
-        'null',
-        {
-          type: 'record',
-          name: 'Relay',
-          fields: [
-            { name: 'node', type: 'string' },
-            { name: 'id', type: 'long' },
-            { name: 'report', type: 'string' },
-          ],
-        },
-      ],
-      default: null,
-    },
-    {
-      name: 'relayAnswer',
-      type: [
-        'null',
-        {
-          type: 'record',
-          name: 'RelayAnswer',
-          fields: [
-            { name: 'node', type: 'string' },
-            { name: 'id', type: 'long' },
-            { name: 'status', type: 'int' },
-            { name: 'body', type: 'string' },
-          ],
-        },
-      ],
-      default: null,
-    },
-    {
-      name: 'news',
-      type: [
-        'null',
-        {
-          type: 'record',
-          name: 'News',
-          fields: [{ name: 'changes', type: changesSchema }],
-        },
-      ],
-      default: null,
-    },
-    {
-      name: 'ask',
-      type: [
-        'null',
-        {
-          type: 'record',
-          name: 'Ask',
-          fields: [
-            { name: 'node', type: 'string' },
-            { name: 'from', type: 'long' },
-          ],
-        },
-      ],
-      default: null,
-    },
-    {
-      name: 'delta',
-      type: [
-        'null',
-        {
-          type: 'record',
-          name: 'Delta',
-          fields: [
-            { name: 'node', type: 'string' },
-            { name: 'life', type: 'long' },
-            { name: 'version', type: 'long' },
-            { name: 'from', type: 'long' },
-            { name: 'upTo', type: 'long' },
-            { name: 'whole', type: 'boolean' },
-            { name: 'changes', type: { type: 'array', items: 'RecordChange' } },
-          ],
-        },
-      ],
-      default: null,
-    },
-  ],
-});
+  fields: Object.entries(kinds).map(([name, schema]) => ({ name, type: ['null', schema], default: null })),
+} as avro.Schema);
 
 const encoded = new WeakMap<Message, Buffer>();
 
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -16,6 +16,14 @@
   stamp: number;
 }
 
+/** All or nothing: throws where a value can't be read. */
+export const readChanges = (sent: readonly SentChange[]): Change[] =>
+  sent.map(({ key, value, stamp }) => ({
+    key,
+    value: value === null ? undefined : (JSON.parse(value) as unknown),
+    stamp,
+  }));
+
 export type Listener = (key: string, now: Stored, before: Stored | undefined) => void;
 
 /**
