--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -351,7 +351,7 @@
     if ('gossip' in message) this.hear(message.gossip);
     else if ('relayAnswer' in message) this.relays.take(message.relayAnswer);
     else if ('news' in message) this.learn(message.news);
-    else if ('ask' in message) this.coverage.answer(message.ask.node, message.ask.from);
+    else if ('ask' in message) this.coverage.answer(message.ask);
     else if ('delta' in message) this.coverage.take(message.delta);
     else {
       const { node, id, report: text } = message.relay;
--- a/src/mesh/coverage.ts
+++ b/src/mesh/coverage.ts
@@ -1,7 +1,7 @@
 import { CLOCK_DRIFT, DELTA_BYTES, FRESH_MS } from '../constants.js';
 import type { Clock } from '../net/clock.js';
 import { readChanges, type Replica } from '../state/replica.js';
-import type { Delta, Gossip, Message } from './messages.js';
+import type { Ask, Delta, Gossip, Message } from './messages.js';
 
 /** A state of a peer's copy: its process, and how many changes that had taken in. */
 interface Version {
@@ -21,6 +21,8 @@
   /** The clocks of the peers, as they last told them, to be echoed. */
   private readonly clocks = new Map<string, { life: number; clock: number }>();
   private readonly merged = new Map<string, Version>();
+  /** What is being told in several messages, and up to which revision it has been. */
+  private readonly asking = new Map<string, Version & { after: number }>();
   /** Steady ms as of which this copy held all that the peer's held. */
   private readonly coveredAt: Map<string, number>;
   /** Steady ms as of which some peer had a complete copy from the store, all of which ours holds. */
@@ -64,21 +66,34 @@
   }
 
   private ask(node: string): void {
-    this.send(node, { ask: { node: this.node, from: this.replica.epoch } });
+    const { epoch } = this.replica;
+    this.asking.delete(node);
+    this.send(node, { ask: { node: this.node, from: epoch, after: epoch } });
   }
 
-  /** Tells a peer what has changed since its copy was complete. */
-  answer(peer: string, from: number): void {
+  /** Tells a peer what this copy holds since the peer's was complete. */
+  answer({ node, from, after }: Ask): void {
     if (!this.replica.loaded) return;
-    const { changes, upTo, whole } = this.replica.since(from, DELTA_BYTES);
     const { version } = this.replica;
-    this.send(peer, { delta: { node: this.node, life: this.life, version, from, upTo, whole, changes } });
+    const upTo = this.replica.completeFrom(from);
+    const told = this.replica.since(after, DELTA_BYTES);
+    this.send(node, { delta: { node: this.node, life: this.life, version, from, after, upTo, ...told } });
   }
 
-  take({ node, life, version, from, upTo, whole, changes }: Delta): void {
-    if (!this.coveredAt.has(node) || !this.replica.takeSince(from, upTo, readChanges(changes))) return;
-    if (whole) this.merged.set(node, { life, version });
-    else this.ask(node);
+  take({ node, life, version, from, after, last, whole, upTo, changes }: Delta): void {
+    if (!this.coveredAt.has(node) || !this.replica.loaded || from > this.replica.epoch) return;
+    this.replica.takeIn(readChanges(changes));
+    // Only of one and the same state of the peer's copy do several messages make a whole.
+    const begun = after === from ? { life, version, after } : this.asking.get(node);
+    if (begun?.life !== life || begun.version !== version || begun.after !== after) return;
+    if (whole) {
+      this.asking.delete(node);
+      this.replica.completeTo(upTo);
+      this.merged.set(node, { life, version });
+    } else if (last > after) {
+      this.asking.set(node, { life, version, after: last });
+      this.send(node, { ask: { node: this.node, from, after: last } });
+    }
   }
 
   /** Steady ms: no node can have confirmed anything before it that this node's copy does not hold. */
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -185,6 +185,8 @@
   node: string;
   /** The revision up to which the sender's copy is complete. */
   from: number;
+  /** The revision up to which it has been told what the receiver holds since: more than one message may be needed. */
+  after: number;
 }
 
 /** What the sender's copy holds since the revision that was asked for. */
@@ -193,10 +195,13 @@
   life: number;
   version: number;
   from: number;
-  /** With the changes, a copy that was complete up to `from` is complete up to here. */
-  upTo: number;
-  /** False: there is more. */
+  after: number;
+  /** The revision of the last change. */
+  last: number;
+  /** False: there is more after `last`. */
   whole: boolean;
+  /** With all of it, a copy that was complete up to `from` is complete up to here. */
+  upTo: number;
   changes: SentChange[];
 }
 
@@ -223,9 +228,10 @@
   relay: record('Relay', { node: 'string', id: 'long', report: 'string' }),
   relayAnswer: record('RelayAnswer', { node: 'string', id: 'long', status: 'int', body: 'string' }),
   news: record('News', { changes: { type: 'array', items: change } }),
-  ask: record('Ask', { node: 'string', from: 'long' }),
+  ask: record('Ask', { node: 'string', from: 'long', after: 'long' }),
   delta: record('Delta', {
-    ...{ node: 'string', life: 'long', version: 'long', from: 'long', upTo: 'long', whole: 'boolean' },
+    ...{ node: 'string', life: 'long', version: 'long', from: 'long', after: 'long', last: 'long', whole: 'boolean' },
+    upTo: 'long',
     changes: { type: 'array', items: 'RecordChange' },
   }),
 };
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -101,37 +101,39 @@
   }
 
   /**
-   * What has changed since a copy was complete up to `from`, oldest first. With all of it a copy is complete up to `upTo`.
-   * Not `whole`: there is more, from `upTo` on.
+   * What the copy holds that is newer than the revision `after`, oldest first, as far as the bytes allow; `last` is the
+   * revision to go on after, and with `whole` there is no more.
    */
-  since(from: number, maxBytes: number): { changes: SentChange[]; upTo: number; whole: boolean } {
-    const rows = [...this.rows].filter(([, { stamp }]) => stamp > from).sort(([, a], [, b]) => a.stamp - b.stamp);
+  since(after: number, maxBytes: number): { changes: SentChange[]; last: number; whole: boolean } {
+    const rows = [...this.rows].filter(([, { stamp }]) => stamp > after).sort(([, a], [, b]) => a.stamp - b.stamp);
     const changes: SentChange[] = [];
     let bytes = 0;
+    let last = after;
     for (const [key, { value, stamp }] of rows) {
       const text = value === undefined ? null : JSON.stringify(value);
       bytes += key.length + (text?.length ?? 0) + 16;
       // All changes of a revision go together.
-      const last = changes.at(-1)?.stamp;
-      if (bytes > maxBytes && last !== undefined && stamp > last) {
-        return { changes, upTo: this.completeTo(from, last), whole: false };
-      }
+      if (bytes > maxBytes && changes.length > 0 && stamp > last) return { changes, last, whole: false };
       changes.push({ key, value: text, stamp });
+      last = stamp;
     }
-    return { changes, upTo: this.completeTo(from, this.epoch), whole: true };
+    return { changes, last, whole: true };
   }
 
-  /** Where drops have been forgotten, a copy that lacks them becomes no more complete by what is left. */
-  private completeTo(from: number, stamp: number): number {
-    return from < this.floor ? from : Math.max(from, Math.min(stamp, this.epoch));
+  /** Up to which revision a copy is complete that was so up to `from` and has taken in all that this one holds since. */
+  completeFrom(from: number): number {
+    // Of drops that are forgotten here it has not heard.
+    return from < this.floor ? from : Math.max(from, this.epoch);
   }
 
-  /** Takes in what a peer's copy holds since a revision up to which this one is complete. False: it builds on more. */
-  takeSince(from: number, upTo: number, changes: readonly Change[]): boolean {
-    if (!this.loaded || from > this.epoch) return false;
+  /** Takes in what a peer's copy holds. */
+  takeIn(changes: readonly Change[]): void {
     for (const change of changes) this.hear(change);
-    this.advance(upTo);
-    return true;
+  }
+
+  /** All that a peer's copy holds since a revision up to which this one is complete has been taken in. */
+  completeTo(epoch: number): void {
+    this.advance(epoch);
   }
 
   /** Reads all records; what is no longer there is dropped. */
