A report's desired places are gathered once; one name for a copy's becoming complete

Read again: each report gathered what the ledger wants on its machine twice, the second time for launches of cancelled tasks that are almost never open, and Replica had a second method that only called the first.

--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -124,14 +124,15 @@
     if (worker.isLate(report)) return { status: 200, body: { Fence: held.fence, Orders: [] } };
     const newSession = report.tenure > worker.tenure && worker.tenure > 0;
     if (newSession) this.log.info({ machine: report.host, tenure: report.tenure }, 'worker began a new session');
-    if (this.mustExpire(worker, report, held, now)) return { status: 503, body: { error: 'no new token' } };
+    const desired = this.desiredOn(report.host);
+    if (this.mustExpire(worker, report, held, desired, now)) return { status: 503, body: { error: 'no new token' } };
     worker.noteAnswer(report, held.fence, door, reportLateMs(this.settings.cluster.workers), now);
     // A report that crossed a newer answer of `/commands` is no late copy: the worker waits for its answer.
     worker.take(report, now, true);
     this.noteImages(worker);
     this.events.checked(report);
     this.stragglers.look(worker);
-    const plan = reconcile(worker, this.desiredOn(report.host), this.rights(held, true));
+    const plan = reconcile(worker, desired, this.rights(held, true));
     this.carryOut(worker, role, plan);
     const orders: unknown[] = [];
     let bytes = 0;
@@ -153,13 +154,15 @@
    * is carried out whenever it arrives, so the lease has to end instead, early enough. The cancellation may be older than
    * its first sight here by one lease (a worker not heard for longer is in a new session), the age of the copy and a delay.
    */
-  private mustExpire(worker: Worker, report: Report, held: Held, now: number): boolean {
+  private mustExpire(worker: Worker, report: Report, held: Held, desired: Map<string, Desired>, now: number): boolean {
     const isOpen = ([name, { place, withdrawn }]: [string, Desired]) => {
       const fence = worker.openCommands.get(attemptOf(place));
       const there = report.tasks.get(name)?.attempt === place.slot.attempt;
       return withdrawn && !there && fence !== undefined && fence >= Math.max(report.fence, held.fence);
     };
-    if (report.tenure !== worker.tenure || ![...this.desiredOn(report.host)].some(isOpen)) {
+    // Nearly always no launch is open, and nothing is looked through.
+    const any = worker.openCommands.size > 0 && report.tenure === worker.tenure && [...desired].some(isOpen);
+    if (!any) {
       worker.openSince = undefined;
       return false;
     }
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -82,7 +82,8 @@
     if (this.loaded && change.stamp > this.epoch) this.apply(change);
   }
 
-  private advance(epoch: number): void {
+  /** All changes up to the revision have been taken in, from the store or from a copy that held them. */
+  completeTo(epoch: number): void {
     if (epoch <= this.epoch) return;
     this.epoch = epoch;
     this.forgetDrops();
@@ -131,11 +132,6 @@
     for (const change of changes) this.hear(change);
   }
 
-  /** All that a peer's copy holds since a revision up to which this one is complete has been taken in. */
-  completeTo(epoch: number): void {
-    this.advance(epoch);
-  }
-
   /** Reads all records; what is no longer there is dropped. */
   async load(): Promise<void> {
     const sentAt = this.clock.now();
@@ -185,7 +181,7 @@
         return true;
       }
       for (const change of news.changes) this.apply(change);
-      this.advance(news.epoch);
+      this.completeTo(news.epoch);
       this.freshAt = Math.max(this.freshAt, sentAt);
       return true;
     } catch {
