--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,7 +12,7 @@
       '@typescript-eslint/require-await': 'off',
     },
   },
-  { files: ['*.js'], ...tseslint.configs.disableTypeChecked },
+  { files: ['*.js', 'build/*.js'], ...tseslint.configs.disableTypeChecked },
   // node:test's describe and it return promises that the runner itself awaits.
   { files: ['test/**'], rules: { '@typescript-eslint/no-floating-promises': 'off' } },
 );
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,15 +1,20 @@
 #!/usr/bin/env node
+/** The program: flags, settings and signals around one controller. */
 import { setMaxListeners } from 'node:events';
+import { startupSnapshot } from 'node:v8';
 import { Command, CommanderError } from 'commander';
 import { SettingsError, loadSettings, loadTuning } from './config/settings.js';
 import { VERSION } from './constants.js';
 import { Controller } from './controller/controller.js';
-import { createLog } from './controller/log.js';
+import { createLog, type Log } from './controller/log.js';
 import { systemClock } from './net/clock.js';
 import { NodeHttpClient } from './net/http-client.js';
 
 const EXIT_BAD_INPUT = 2;
 
+/** Of the sockets that the platform allows, the share that calls to the store, the cloud and workers may take. */
+const HTTP_CLIENT_SOCKET_SHARE = 0.25;
+
 interface Options {
   config: string;
   tuning?: string;
@@ -46,31 +51,44 @@
   }
 }
 
-const options = parseOptions();
-const { settings, tuning } = load(options);
-if (options.check === true) {
-  process.stdout.write('settings are good\n');
-  process.exit(0);
+/** A failed routine must not take the service along: the records are safe, and every duty is tried again. */
+function surviveErrors(log: Log): void {
+  process.on('unhandledRejection', (error) =>
+    log.error({ error: (error as Error)?.stack ?? String(error) }, 'unhandled'),
+  );
+  process.on('uncaughtException', (error) => {
+    log.error({ error: error.stack ?? String(error) }, 'uncaught');
+    if ((error as NodeJS.ErrnoException).code === 'EADDRINUSE') process.exit(1);
+  });
+}
+
+/** Fires when the process is told to end. */
+function stopSignal(): AbortSignal {
+  const stop = new AbortController();
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => stop.abort());
+  setMaxListeners(0, stop.signal);
+  return stop.signal;
 }
 
-const log = createLog(settings.node, process.env['LOG_LEVEL']);
-// A failed routine must not take the service along: the records are safe, and every duty is tried again.
-process.on('unhandledRejection', (error) =>
-  log.error({ error: (error as Error)?.stack ?? String(error) }, 'unhandled'),
-);
-process.on('uncaughtException', (error) => {
-  log.error({ error: error.stack ?? String(error) }, 'uncaught');
-  if ((error as NodeJS.ErrnoException).code === 'EADDRINUSE') process.exit(1);
-});
+function main(): void {
+  const options = parseOptions();
+  const { settings, tuning } = load(options);
+  if (options.check === true) {
+    process.stdout.write('settings are good\n');
+    process.exit(0);
+  }
+  const log = createLog(settings.node, process.env['LOG_LEVEL']);
+  surviveErrors(log);
+  const http = new NodeHttpClient(Math.floor(settings.cluster.limits.sockets * HTTP_CLIENT_SOCKET_SHARE));
+  new Controller(settings, tuning, http, systemClock, log).run(stopSignal()).then(
+    () => http.close(),
+    (error: unknown) => {
+      log.error({ error: (error as Error)?.stack ?? String(error) }, 'can not go on');
+      process.exit(1);
+    },
+  );
+}
 
-const stop = new AbortController();
-for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => stop.abort());
-setMaxListeners(0, stop.signal);
-const http = new NodeHttpClient(Math.floor(settings.cluster.limits.sockets * 0.25));
-new Controller(settings, tuning, http, systemClock, log).run(stop.signal).then(
-  () => http.close(),
-  (error: unknown) => {
-    log.error({ error: (error as Error)?.stack ?? String(error) }, 'can not go on');
-    process.exit(1);
-  },
-);
+// All modules are loaded and evaluated once, when the snapshot is built: at 5 % of a core that takes more than a second.
+if (startupSnapshot.isBuildingSnapshot()) startupSnapshot.setDeserializeMainFunction(main);
+else main();
