--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,14 +1,9 @@
 import { randomInt } from 'node:crypto';
 import {
-  AVOID_MS,
   BATCH_GATHER_SHARE,
   BATCH_PUSH_GATHER_SHARE,
   GOSSIP_SOON_MS,
-  GOSSIP_VIEW_MS,
   GREET_PERIOD_MS,
-  HOLD_TTL_MS,
-  SELF_SUSPECT_SHARE,
-  HANDBACK_MS,
   SWEEP_MS,
   FINISH_PERIOD_MS,
   NEWS_GATHER_MS,
@@ -20,32 +15,32 @@
 import { CloudClient, decodeCatalog } from '../cloud/client.js';
 import type { Settings, Tuning } from '../config/settings.js';
 import { Book, type JobView } from '../ledger/book.js';
-import { endJob } from '../ledger/edits.js';
-import { chunkKey, jobKey, LIVE, parseShard, shardName } from '../ledger/records.js';
+import { LIVE, parseShard, shardName } from '../ledger/records.js';
 import { Mesh, splitAddress } from '../mesh/mesh.js';
-import type { Gossip, MachineNews, Message, News } from '../mesh/messages.js';
+import type { Gossip, Message, News } from '../mesh/messages.js';
 import { Coverage } from '../mesh/coverage.js';
 import { Relays } from '../mesh/relays.js';
 import { Peers } from '../mesh/peers.js';
-import { Heard, ownAt, Tellings, type Own } from '../mesh/tellings.js';
+import { Tellings } from '../mesh/tellings.js';
 import type { Clock } from '../net/clock.js';
 import type { HttpClient } from '../net/http-client.js';
 import { Random } from '../net/random.js';
-import { Priority } from '../net/token-bucket.js';
 import { Happiness } from '../placement/happiness.js';
 import { StateClient, type Change } from '../state/client.js';
 import { Committer, txnLimits } from '../state/committer.js';
 import { readChanges, Replica } from '../state/replica.js';
 import { decodeReport, type Report } from '../workers/report.js';
-import { silenceLimitMs } from '../workers/worker.js';
 import { Claims, LEADER, partRole } from './claims.js';
-import { Fleet, type MachineInfo } from './fleet.js';
+import { Fleet } from './fleet.js';
+import { GossipExchange } from './gossip-exchange.js';
+import { JobCompletion } from './job-completion.js';
 import { Leader } from './leader.js';
 import type { Log } from './log.js';
 import { Mover } from './mover.js';
 import { Owner } from './owner.js';
 import { isLarge } from './placer.js';
 import { Planner } from './planner.js';
+import { Rebalancer } from './rebalancer.js';
 import { Recaller } from './recaller.js';
 
 const FLAVOR = `${LIVE}flavor/`;
@@ -68,19 +63,17 @@
   private readonly mover: Mover;
   private readonly happiness: Happiness;
   private readonly random: Random;
-  private readonly ending = new Set<string>();
   private gossiping = false;
   private readonly news: Change[] = [];
   private readonly relays: Relays;
   /** Set by whoever links the controllers: the mesh, or a test. */
   send: (node: string, message: Message) => boolean = () => false;
-  private loadedAt: number | undefined;
   /** ms between two reports of a worker. */
   private readonly periodMs: number;
   private readonly tellings: Tellings;
-  private readonly heard = new Heard();
-  /** Peers that must tell all once more. */
-  private readonly missed = new Set<string>();
+  private readonly exchange: GossipExchange;
+  private readonly completion: JobCompletion;
+  private readonly rebalancer: Rebalancer;
 
   constructor(
     private readonly settings: Settings,
@@ -198,6 +191,35 @@
       this.random,
       log,
     );
+    this.completion = new JobCompletion({
+      claims: this.claims,
+      book: this.book,
+      replica: this.replica,
+      committer: this.committer,
+      log,
+      maxTransactionWrites: settings.cluster.state.txn_ops,
+    });
+    this.rebalancer = new Rebalancer({
+      settings,
+      claims: this.claims,
+      owner: this.owner,
+      peers: this.peers,
+      clock,
+    });
+    this.exchange = new GossipExchange({
+      settings,
+      clock,
+      log,
+      replica: this.replica,
+      peers: this.peers,
+      coverage: this.coverage,
+      claims: this.claims,
+      owner: this.owner,
+      fleet: this.fleet,
+      tellings: this.tellings,
+      isWithoutStore: () => this.withoutStore,
+      sendSoon: () => this.gossipSoon(),
+    });
     this.recaller = new Recaller(this.claims, this.book, this.fleet, this.peers, http, clock, log);
     this.jobs = new Jobs(
       settings,
@@ -249,8 +271,8 @@
       this.planner.run(signal),
       this.leader.run(signal),
       this.mover.run(signal),
-      this.every(FINISH_PERIOD_MS, signal, () => this.finishAll()),
-      this.every(SWEEP_MS, signal, () => this.balance()),
+      this.every(FINISH_PERIOD_MS, signal, () => this.cleanUp()),
+      this.every(SWEEP_MS, signal, () => this.rebalance()),
       this.every(SWEEP_MS, signal, () => this.recaller.sweep()),
       this.every(GREET_PERIOD_MS, signal, () => this.greet()),
     ]);
@@ -346,9 +368,14 @@
     return { status: 200, body: orders };
   }
 
+  /** What this node has to tell one peer. */
+  gossip(to: string): Gossip {
+    return this.exchange.compose(to);
+  }
+
   /** What another controller says. */
   receive(message: Message): void {
-    if ('gossip' in message) this.hear(message.gossip);
+    if ('gossip' in message) this.exchange.receive(message.gossip);
     else if ('relayAnswer' in message) this.relays.take(message.relayAnswer);
     else if ('news' in message) this.learn(message.news);
     else if ('ask' in message) this.coverage.answer(message.ask);
@@ -388,7 +415,7 @@
       if (withdrawn || slot.stop !== null) this.owner.push(slot.host);
       else if (unlaunched) this.owner.push(slot.host, isBatch ? this.periodMs * BATCH_PUSH_GATHER_SHARE : undefined);
     }
-    if (view.placed === 0 && (withdrawn || view.complete)) this.finish(ref);
+    if (view.placed === 0 && (withdrawn || view.complete)) void this.completion.complete(ref);
   }
 
   /** Does work wait here for seconds at most, that this very node places? */
@@ -415,73 +442,16 @@
     this.happiness.note(shardName(ref, shard), healthy, this.clock.now());
   }
 
-  /** Records the end of a job whose tasks are all over. Any node may: the record decides. */
-  private finish(ref: string): void {
-    if (this.ending.has(ref)) return;
-    this.ending.add(ref);
-    void this.committer
-      .commit('end', Priority.record, (draft) => {
-        const row = this.replica.get(`${LIVE}job/${ref}`);
-        // What happened before a withdrawal must have been seen: a start that it didn't prevent may be in the ledger.
-        const withdrawn = this.book.jobs.get(ref)?.record.phase === 'withdrawn';
-        if (withdrawn && this.replica.epoch < row.stamp) return false;
-        return endJob(draft, ref, this.settings.cluster.state.txn_ops);
-      })
-      .then((outcome) => {
-        this.ending.delete(ref);
-        if (outcome.kind === 'done') this.log.info({ job: ref }, 'job over');
-      });
-  }
-
-  /** Level-triggered: whatever was missed, the owner of the job's part ends the job. */
-  private finishAll(): void {
+  /** Ends jobs that are over, and forgets what nobody speaks of any more. */
+  private cleanUp(): void {
     if (!this.claims.inTouch) return;
-    for (const [ref, view] of this.book.jobs) {
-      if (view.placed > 0 || (view.record.phase === 'active' && !view.complete)) continue;
-      const role = partRole(this.claims.partOf(ref));
-      const mine = this.claims.holding(role) !== undefined;
-      if (mine || (this.claims.isLeader && this.claims.ownerOf(role) === undefined)) this.finish(ref);
-    }
-    if (this.claims.isLeader) this.sweepChunks();
+    this.completion.completeAll();
     this.happiness.prune(this.clock.now());
     this.fleet.prune();
   }
 
-  /** A job's record goes with its end, and its ledger can't change after: what is left of it is dropped. */
-  private sweepChunks(): void {
-    for (const { ref, chunks } of this.book.leftChunks()) {
-      void this.committer.commit('sweep', Priority.background, (draft) => {
-        if (!this.claims.require(draft, LEADER) || draft.get(jobKey(ref)) !== undefined) return false;
-        for (const chunk of chunks.slice(0, this.settings.cluster.state.txn_ops)) draft.drop(chunkKey(ref, chunk));
-        return true;
-      });
-    }
-  }
-
-  /** Gives parts back to the nodes that prefer them, and parts whose workers can't reach this node to others. */
-  private balance(): void {
-    if (!this.claims.inTouch) return;
-    const now = this.clock.now();
-    for (const part of this.claims.ownedParts()) {
-      const role = partRole(part);
-      const home = this.claims.homeOf(part);
-      const ready = this.peers.upMs(home) > HANDBACK_MS && this.peers.hasStore(home);
-      if (home !== this.settings.node && ready && !this.peers.avoids(home, role)) {
-        void this.claims.cede(role, 'its own node is back', HOLD_TTL_MS);
-        continue;
-      }
-      const workers = [...this.owner.workers.values()].filter((worker) => this.claims.partOf(worker.host) === part);
-      const limit = silenceLimitMs(this.settings.cluster.workers);
-      const silent = workers.filter((worker) => now - worker.reportedAt > limit);
-      const seen = silent.filter((worker) => this.peers.knocked(worker.host, worker.reportedAt));
-      if (
-        silent.length >= 2 &&
-        silent.length > workers.length * SELF_SUSPECT_SHARE &&
-        seen.length * 2 > silent.length
-      ) {
-        void this.claims.cede(role, 'its workers reach other nodes only', AVOID_MS);
-      }
-    }
+  private rebalance(): void {
+    if (this.claims.inTouch) this.rebalancer.rebalance();
   }
 
   /** Tells this node's fence to workers that have not been heard since a takeover. */
@@ -496,78 +466,6 @@
       void this.owner.greet(host, endpoint, tenure);
     }
   }
-
-  /** What this node has to tell one peer. */
-  gossip(to: string): Gossip {
-    const now = this.clock.now();
-    if (this.loadedAt === undefined && this.replica.loaded) this.loadedAt = now;
-    return {
-      node: this.settings.node,
-      upMs: this.loadedAt === undefined ? 0 : now - this.loadedAt,
-      freshAgeMs: Math.min(now - this.replica.freshAt, 1e12),
-      withoutStore: this.withoutStore,
-      hears: this.peers.heard(),
-      ...this.coverage.tell(to),
-      ...this.tellings.compose(to, this.ownNews(now), this.passedNews(now, to), now),
-      wants: this.missed.has(to),
-      knocks: [
-        ...[...this.owner.knocks].map(([host, at]) => ({ host, ageMs: now - at })),
-        // After a restart hundreds knock: what the peer hears itself is not passed on to it.
-        ...(this.unheardBy(to).size > 0 ? this.peers.knocksHeard() : []),
-      ],
-      avoids: this.claims.avoided(),
-      gone: this.fleet.lately(),
-    };
-  }
-
-  private own: Own = { at: -Infinity, machines: [] };
-
-  /** The machines of this node's parts, described once for all peers. */
-  private ownNews(now: number): Own {
-    if (now - this.own.at < GOSSIP_VIEW_MS) return this.own;
-    // A node that must not answer its workers knows nothing of them either.
-    const mine = this.claims.ownedParts().filter((part) => this.claims.mayAnswer(partRole(part)) !== undefined);
-    const machines = this.fleet.own().filter(({ host }) => mine.includes(this.claims.partOf(host)));
-    this.own = ownAt(
-      now,
-      machines.map((machine) => newsOf(machine, now, now)),
-    );
-    return this.own;
-  }
-
-  /** The nodes that a peer does not hear itself. */
-  private unheardBy(peer: string): Set<string> {
-    const nodes = this.settings.peers.map(({ node }) => node);
-    return new Set(nodes.filter((node) => node !== peer && !this.peers.hears(peer, node)));
-  }
-
-  /** Of others' machines only what a peer can't hear itself: all from everybody to everybody would grow with both. */
-  private passedNews(now: number, to: string): MachineNews[] {
-    const unheard = this.unheardBy(to);
-    if (unheard.size === 0) return [];
-    const passed = this.fleet.passOn((owner) => unheard.has(owner));
-    return [...passed].map(({ machine, knownAt }) => newsOf(machine, now, knownAt));
-  }
-
-  private hear(gossip: Gossip): void {
-    this.peers.hear(gossip);
-    this.coverage.hear(gossip);
-    for (const host of gossip.gone) this.fleet.remove(host);
-    const now = this.clock.now();
-    if (gossip.wants) this.tellings.renew(gossip.node);
-    const { machines, same, gap } = this.heard.take(gossip);
-    if (gap && !this.missed.has(gossip.node)) {
-      this.missed.add(gossip.node);
-      this.log.info({ from: gossip.node }, 'a message of the peer is missing');
-      this.gossipSoon();
-    }
-    if (gossip.whole) this.missed.delete(gossip.node);
-    for (const machine of machines) this.fleet.hear(infoOf(machine, now), now - machine.knownAgeMs);
-    for (const { machine, heardAgeMs, tick } of same) {
-      if (this.fleet.hearAgain(machine.host, gossip.node, now - heardAgeMs, tick, now)) continue;
-      this.fleet.hear(infoOf({ ...machine, heardAgeMs, tick, warnedMs: null }, now), now);
-    }
-  }
 }
 
 /** undefined: not JSON. */
@@ -578,17 +476,3 @@
     return undefined;
   }
 }
-
-const newsOf = ({ heardAt, warnedUntil, ...rest }: MachineInfo, now: number, knownAt: number): MachineNews => ({
-  ...rest,
-  number: -1,
-  heardAgeMs: now - heardAt,
-  knownAgeMs: now - knownAt,
-  warnedMs: warnedUntil === null ? null : warnedUntil - now,
-});
-
-const infoOf = ({ heardAgeMs, warnedMs, ...rest }: MachineNews, now: number): MachineInfo => ({
-  ...rest,
-  heardAt: now - heardAgeMs,
-  warnedUntil: warnedMs === null ? null : now + warnedMs,
-});
