A request costs less: callbacks in place of promises, one timer a connection; routes and bodies apart

Headers Date and Keep-Alive are no longer sent. Tests over in-memory connections pin statuses, limits and bodies.

--- /dev/null
+++ b/src/api/routes.ts
@@ -0,0 +1,63 @@
+/** Which handler serves a request, by its path and method. */
+import type { Answer } from './jobs.js';
+
+/** What the service does for users, workers and health checks. */
+export interface Handlers {
+  submit(body: unknown): Promise<Answer>;
+  poll(ref: string): Promise<Answer>;
+  withdraw(ref: string): Promise<Answer>;
+  hello(body: unknown): Answer | Promise<Answer>;
+  up(): Answer;
+}
+
+export interface Route {
+  method: 'GET' | 'POST';
+  /** Users' requests are bounded; workers' reports and health checks always get through. */
+  isBounded: boolean;
+  /** The handler takes the request's JSON body; otherwise the body is not looked at. */
+  takesBody: boolean;
+  handle(body: unknown): Answer | Promise<Answer>;
+}
+
+const JOBS_PATH = '/v1/jobs';
+const JOB_PATH = /^\/v1\/jobs\/([^/]+)(\/withdraw)?$/;
+
+/** The routes of one server. Each path has one method. */
+export class Routes {
+  private readonly fixed: ReadonlyMap<string, Route>;
+
+  constructor(private readonly handlers: Handlers) {
+    this.fixed = new Map<string, Route>([
+      ['/hello', { method: 'POST', isBounded: false, takesBody: true, handle: (body) => handlers.hello(body) }],
+      ['/up', { method: 'GET', isBounded: false, takesBody: false, handle: () => handlers.up() }],
+      [JOBS_PATH, { method: 'POST', isBounded: true, takesBody: true, handle: (body) => handlers.submit(body) }],
+    ]);
+  }
+
+  /** undefined: there is no such path. */
+  find(url: string): Route | undefined {
+    const queryAt = url.indexOf('?');
+    const path = queryAt < 0 ? url : url.slice(0, queryAt);
+    return this.fixed.get(path) ?? this.findJob(path);
+  }
+
+  private findJob(path: string): Route | undefined {
+    const match = JOB_PATH.exec(path);
+    const ref = decodePathPart(match?.[1]);
+    if (ref === undefined) return undefined;
+    const isWithdrawal = match?.[2] !== undefined;
+    return isWithdrawal
+      ? { method: 'POST', isBounded: true, takesBody: false, handle: () => this.handlers.withdraw(ref) }
+      : { method: 'GET', isBounded: true, takesBody: false, handle: () => this.handlers.poll(ref) };
+  }
+}
+
+/** undefined: there is nothing to decode, or it is not encoded as a URL must be. */
+function decodePathPart(part: string | undefined): string | undefined {
+  if (part === undefined) return undefined;
+  try {
+    return decodeURIComponent(part);
+  } catch {
+    return undefined;
+  }
+}
--- a/src/api/server.ts
+++ b/src/api/server.ts
@@ -1,88 +1,38 @@
+/** The HTTP side of a node: users, workers and health checks on one address. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { KEEP_ALIVE_MS, MAX_BODY_BYTES, MAX_OPEN_REQUESTS, REQUEST_TIMEOUT_MS, RETRY_AFTER_S } from '../constants.js';
+import type { Duplex } from 'node:stream';
+import { KEEP_ALIVE_MS, MAX_OPEN_REQUESTS, REQUEST_TIMEOUT_MS, RETRY_AFTER_S } from '../constants.js';
 import type { Log } from '../controller/log.js';
 import type { Answer } from './jobs.js';
+import { readBody } from './request-body.js';
+import { Routes, type Handlers, type Route } from './routes.js';
 
-export interface Handlers {
-  submit(body: unknown): Promise<Answer>;
-  poll(ref: string): Promise<Answer>;
-  withdraw(ref: string): Promise<Answer>;
-  hello(body: unknown): Answer | Promise<Answer>;
-  up(): Answer;
-}
-
-interface Route {
-  method: 'GET' | 'POST';
-  /** Users' requests are bounded; workers' reports and health checks always get through. */
-  bounded: boolean;
-  handle: (request: IncomingMessage) => Promise<Answer> | Answer;
-}
-
-class BadBody extends Error {}
-class TooLarge extends Error {}
+const NO_SUCH_PATH: Answer = { status: 404, body: { error: 'no such path' } };
+const WRONG_METHOD: Answer = { status: 405, body: { error: 'wrong method' } };
+const BUSY: Answer = { status: 429, body: { error: 'busy' }, retryAfter: RETRY_AFTER_S };
+const NOT_JSON: Answer = { status: 400, body: { error: 'not JSON' } };
+const TOO_LARGE: Answer = { status: 400, body: { error: 'body over 64 KiB' } };
+const FAILED: Answer = { status: 503, body: { error: 'internal' }, retryAfter: RETRY_AFTER_S };
 
-/** With plain events: an iterator over the request costs more than what a report needs besides. */
-function readBody(request: IncomingMessage): Promise<unknown> {
-  if (Number(request.headers['content-length'] ?? 0) > MAX_BODY_BYTES) throw new TooLarge();
-  return new Promise((resolve, reject) => {
-    const parts: Buffer[] = [];
-    let size = 0;
-    request.on('data', (part: Buffer) => {
-      size += part.length;
-      if (size > MAX_BODY_BYTES) reject(new TooLarge());
-      else parts.push(part);
-    });
-    request.on('end', () => {
-      try {
-        resolve(JSON.parse(Buffer.concat(parts).toString('utf8')));
-      } catch {
-        reject(new BadBody());
-      }
-    });
-    request.on('error', reject);
-    request.on('close', () => reject(new Error('the sender has gone')));
-  });
-}
-
-function route(path: string, handlers: Handlers): Route[] {
-  if (path === '/up') return [{ method: 'GET', bounded: false, handle: () => handlers.up() }];
-  if (path === '/hello') {
-    return [{ method: 'POST', bounded: false, handle: async (req) => handlers.hello(await readBody(req)) }];
-  }
-  if (path === '/v1/jobs') {
-    return [{ method: 'POST', bounded: true, handle: async (req) => handlers.submit(await readBody(req)) }];
-  }
-  const match = /^\/v1\/jobs\/([^/]+)(\/withdraw)?$/.exec(path);
-  if (match === null) return [];
-  let ref: string;
-  try {
-    ref = decodeURIComponent(match[1]!);
-  } catch {
-    return [];
-  }
-  if (match[2] !== undefined) {
-    return [{ method: 'POST', bounded: true, handle: (req) => (req.resume(), handlers.withdraw(ref)) }];
-  }
-  return [{ method: 'GET', bounded: true, handle: () => handlers.poll(ref) }];
-}
-
-/** The HTTP side of a node: users, workers and health checks on one address. */
 export class ApiServer {
   private readonly server: Server;
+  private readonly routes: Routes;
+  /** Bounded requests that are being read or handled. */
   private open = 0;
 
   constructor(
-    private readonly handlers: Handlers,
+    handlers: Handlers,
     private readonly log: Log,
     maxSockets: number,
   ) {
+    this.routes = new Routes(handlers);
     this.server = createServer(
       { requestTimeout: REQUEST_TIMEOUT_MS, headersTimeout: REQUEST_TIMEOUT_MS },
-      (req, res) => {
-        void this.serve(req, res);
-      },
+      (request, response) => this.serve(request, response),
     );
-    this.server.keepAliveTimeout = KEEP_ALIVE_MS;
+    // One inactivity timer for each connection, in place of one that is set and taken off again at each request.
+    this.server.keepAliveTimeout = 0;
+    this.server.timeout = KEEP_ALIVE_MS;
     this.server.maxConnections = maxSockets;
     this.server.on('clientError', (_error, socket) => {
       if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
@@ -101,58 +51,93 @@
     });
   }
 
-  private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    req.on('error', () => res.destroy());
-    let close = false;
-    let answer: Answer;
-    let counted = false;
-    try {
-      const path = (req.url ?? '/').split('?', 1)[0]!;
-      const routes = route(path, this.handlers);
-      const chosen = routes.find((each) => each.method === req.method);
-      if (chosen === undefined) {
-        req.resume();
-        answer =
-          routes.length === 0
-            ? { status: 404, body: { error: 'no such path' } }
-            : { status: 405, body: { error: 'wrong method' } };
-      } else if (chosen.bounded && this.open >= MAX_OPEN_REQUESTS) {
-        req.resume();
-        answer = { status: 429, body: { error: 'busy' }, retryAfter: RETRY_AFTER_S };
-      } else {
-        if (chosen.bounded) {
-          counted = true;
-          this.open++;
-        }
-        answer = await chosen.handle(req);
-      }
-    } catch (error) {
-      if (error instanceof BadBody) answer = { status: 400, body: { error: 'not JSON' } };
-      else if (error instanceof TooLarge) {
-        close = true;
-        answer = { status: 400, body: { error: 'body over 64 KiB' } };
-      } else if (req.destroyed && !req.complete) {
-        // The sender has gone.
-        if (counted) this.open--;
-        res.destroy();
+  /** Serves a connection that did not come in by the listening socket. */
+  accept(connection: Duplex): void {
+    this.server.emit('connection', connection);
+  }
+
+  private serve(request: IncomingMessage, response: ServerResponse): void {
+    const route = this.routes.find(request.url ?? '/');
+    const refusal = this.whyRefused(route, request.method);
+    if (route === undefined || refusal !== undefined) {
+      request.resume();
+      send(response, refusal ?? NO_SUCH_PATH);
+      return;
+    }
+    const release = route.isBounded ? this.countOpen(request) : undefined;
+    if (!route.takesBody) {
+      request.resume();
+      this.handle(route, undefined, response, release);
+      return;
+    }
+    readBody(request, (body) => {
+      if (body.kind === 'json') {
+        this.handle(route, body.value, response, release);
         return;
-      } else {
-        this.log.error({ error: (error as Error).stack ?? String(error), path: req.url }, 'request failed');
-        answer = { status: 503, body: { error: 'internal' }, retryAfter: RETRY_AFTER_S };
       }
-    }
-    if (counted) this.open--;
-    const body = JSON.stringify(answer.body);
-    const headers: Record<string, string | number> = {
-      'Content-Type': 'application/json',
-      'Content-Length': Buffer.byteLength(body),
+      release?.();
+      if (body.kind === 'malformed') send(response, NOT_JSON);
+      else send(response, TOO_LARGE, () => request.destroy());
+    });
+  }
+
+  private whyRefused(route: Route | undefined, method: string | undefined): Answer | undefined {
+    if (route === undefined) return NO_SUCH_PATH;
+    if (route.method !== method) return WRONG_METHOD;
+    return route.isBounded && this.open >= MAX_OPEN_REQUESTS ? BUSY : undefined;
+  }
+
+  /** Counts a request as open until it is released, or its sender goes away before it has been read. */
+  private countOpen(request: IncomingMessage): () => void {
+    let isOpen = true;
+    this.open++;
+    const release = () => {
+      if (isOpen) this.open--;
+      isOpen = false;
     };
-    if (answer.status === 405) headers['Allow'] = 'GET, POST';
-    if (answer.status === 429 || answer.status === 503) headers['Retry-After'] = answer.retryAfter ?? RETRY_AFTER_S;
-    if (close) headers['Connection'] = 'close';
-    res.writeHead(answer.status, headers);
-    res.end(body, () => {
-      if (close) req.destroy();
+    request.on('close', () => {
+      if (!request.complete) release();
     });
+    return release;
+  }
+
+  private handle(route: Route, body: unknown, response: ServerResponse, release: (() => void) | undefined): void {
+    let answer: Answer | Promise<Answer>;
+    try {
+      answer = route.handle(body);
+    } catch (error) {
+      answer = this.failed(error);
+    }
+    if (!(answer instanceof Promise)) {
+      release?.();
+      send(response, answer);
+      return;
+    }
+    void answer
+      .catch((error: unknown) => this.failed(error))
+      .then((settled) => {
+        release?.();
+        send(response, settled);
+      });
+  }
+
+  private failed(error: unknown): Answer {
+    this.log.error({ error: (error as Error).stack ?? String(error) }, 'request failed');
+    return FAILED;
   }
 }
+
+/** `closing` says that the connection ends with this answer, and is called when the answer is on its way. */
+function send(response: ServerResponse, answer: Answer, closing?: () => void): void {
+  const body = JSON.stringify(answer.body);
+  const { status } = answer;
+  const headers = ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body))];
+  if (status === 405) headers.push('Allow', 'GET, POST');
+  if (status === 429 || status === 503) headers.push('Retry-After', String(answer.retryAfter ?? RETRY_AFTER_S));
+  if (closing !== undefined) headers.push('Connection', 'close');
+  // Nobody reads the date, and Node.js keeps it up with a timer.
+  response.sendDate = false;
+  response.writeHead(status, headers);
+  if (closing === undefined) response.end(body);
+  else response.end(body, closing);
+}
--- /dev/null
+++ b/test/api-server.test.ts
@@ -0,0 +1,129 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { once } from 'node:events';
+import { duplexPair, type Duplex } from 'node:stream';
+import type { Answer } from '../src/api/jobs.js';
+import type { Handlers } from '../src/api/routes.js';
+import { ApiServer } from '../src/api/server.js';
+import { MAX_BODY_BYTES, MAX_OPEN_REQUESTS } from '../src/constants.js';
+
+const silent = { error: () => undefined, warn: () => undefined, info: () => undefined, debug: () => undefined };
+
+function connect(handlers: Partial<Handlers>): { open: () => Duplex; openBoth: () => [Duplex, Duplex] } {
+  const unexpected = () => assert.fail('not asked for');
+  const server = new ApiServer(
+    { submit: unexpected, poll: unexpected, withdraw: unexpected, hello: unexpected, up: unexpected, ...handlers },
+    silent,
+    1000,
+  );
+  const openBoth = (): [Duplex, Duplex] => {
+    const [client, served] = duplexPair();
+    server.accept(served);
+    client.setEncoding('utf8');
+    return [client, served];
+  };
+  return { open: () => openBoth()[0], openBoth };
+}
+
+const post = (path: string, body: string) =>
+  `POST ${path} HTTP/1.1\r\nHost: node\r\nContent-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`;
+const get = (path: string) => `GET ${path} HTTP/1.1\r\nHost: node\r\n\r\n`;
+
+/** The whole answer; answers here fit into one piece. */
+async function ask(connection: Duplex, request: string): Promise<string> {
+  connection.write(request);
+  const [text] = (await once(connection, 'data')) as [string];
+  return text;
+}
+
+const statusOf = (answer: string) => Number(answer.split(' ')[1]);
+const bodyOf = (answer: string) => JSON.parse(answer.slice(answer.indexOf('\r\n\r\n') + 4)) as unknown;
+
+describe('the HTTP server', () => {
+  it('answers report after report on one connection, also one that comes in pieces', async () => {
+    const heard: unknown[] = [];
+    const { open } = connect({
+      hello: (body) => {
+        heard.push(body);
+        return { status: 200, body: { Fence: 1, Orders: [] } };
+      },
+    });
+    const connection = open();
+    const answer = await ask(connection, post('/hello', '{"Tick":1}'));
+    assert.equal(statusOf(answer), 200);
+    assert.deepEqual(bodyOf(answer), { Fence: 1, Orders: [] });
+    const [head, body] = post('/hello', '{"Tick":2}').split(/(?=\{)/);
+    connection.write(head);
+    connection.write(body!.slice(0, 4));
+    assert.equal(statusOf(await ask(connection, body!.slice(4))), 200);
+    assert.deepEqual(heard, [{ Tick: 1 }, { Tick: 2 }]);
+  });
+
+  it('tells paths, methods and bodies that it can not serve', async () => {
+    const { open } = connect({ up: () => ({ status: 200, body: { up: true } }) });
+    const connection = open();
+    assert.equal(statusOf(await ask(connection, get('/up?why=check'))), 200);
+    assert.equal(statusOf(await ask(connection, get('/nothing'))), 404);
+    assert.equal(statusOf(await ask(connection, get('/v1/jobs/%ZZ'))), 404);
+    const wrong = await ask(connection, get('/hello'));
+    assert.equal(statusOf(wrong), 405);
+    assert.match(wrong, /Allow: GET, POST/);
+    const malformed = await ask(connection, post('/v1/jobs', '{'));
+    assert.equal(statusOf(malformed), 400);
+    assert.deepEqual(bodyOf(malformed), { error: 'not JSON' });
+  });
+
+  it('refuses a body over the limit, announced or not, and closes the connection', async () => {
+    const { open } = connect({});
+    const announced = await ask(
+      open(),
+      `POST /hello HTTP/1.1\r\nHost: node\r\nContent-Length: ${MAX_BODY_BYTES + 1}\r\n\r\n`,
+    );
+    assert.equal(statusOf(announced), 400);
+    assert.match(announced, /Connection: close/);
+    const chunk = `${(MAX_BODY_BYTES + 1).toString(16)}\r\n${' '.repeat(MAX_BODY_BYTES + 1)}\r\n`;
+    const chunked = `POST /hello HTTP/1.1\r\nHost: node\r\nTransfer-Encoding: chunked\r\n\r\n${chunk}`;
+    assert.deepEqual(bodyOf(await ask(open(), chunked)), { error: 'body over 64 KiB' });
+  });
+
+  it('answers 503 with Retry-After where a handler fails, at once or later', async () => {
+    const { open } = connect({
+      hello: () => {
+        throw new Error('broken');
+      },
+      poll: () => Promise.reject(new Error('broken')),
+    });
+    for (const request of [post('/hello', '{}'), get('/v1/jobs/j-1')]) {
+      const answer = await ask(open(), request);
+      assert.equal(statusOf(answer), 503);
+      assert.match(answer, /Retry-After: 1/);
+    }
+  });
+
+  it('refuses users at once while too many of their requests are open, and takes them again after', async () => {
+    let answerAll: (answer: Answer) => void = () => undefined;
+    const later = new Promise<Answer>((resolve) => (answerAll = resolve));
+    const { open } = connect({ poll: () => later, hello: () => ({ status: 200, body: {} }) });
+    const waiting = Array.from({ length: MAX_OPEN_REQUESTS }, () => ask(open(), get('/v1/jobs/j-1')));
+    const connection = open();
+    const refused = await ask(connection, get('/v1/jobs/j-1'));
+    assert.equal(statusOf(refused), 429);
+    assert.match(refused, /Retry-After/);
+    assert.equal(statusOf(await ask(connection, post('/hello', '{}'))), 200, 'reports get through');
+    answerAll({ status: 200, body: { Phase: 'queued' } });
+    for (const answer of await Promise.all(waiting)) assert.equal(statusOf(answer), 200);
+    assert.equal(statusOf(await ask(connection, get('/v1/jobs/j-1'))), 200);
+  });
+
+  it('forgets a submission whose sender has gone before it was read', async () => {
+    const { open, openBoth } = connect({ poll: () => Promise.resolve({ status: 200, body: {} }) });
+    for (let count = 0; count < MAX_OPEN_REQUESTS; count++) {
+      const [client, served] = openBoth();
+      client.write('POST /v1/jobs HTTP/1.1\r\nHost: node\r\nContent-Length: 10\r\n\r\n{');
+      await new Promise((resolve) => setImmediate(resolve));
+      served.destroy();
+    }
+    await new Promise((resolve) => setImmediate(resolve));
+    assert.equal(statusOf(await ask(open(), get('/v1/jobs/j-1'))), 200);
+  });
+});
