--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,7 +12,12 @@
       '@typescript-eslint/require-await': 'off',
     },
   },
-  { files: ['*.js', 'build/*.js'], ...tseslint.configs.disableTypeChecked },
+  { files: ['*.js', 'build/*'], ...tseslint.configs.disableTypeChecked },
+  {
+    files: ['build/*.cjs'],
+    languageOptions: { sourceType: 'commonjs', globals: { require: 'readonly' } },
+    rules: { '@typescript-eslint/no-require-imports': 'off' },
+  },
   // node:test's describe and it return promises that the runner itself awaits.
   { files: ['test/**'], rules: { '@typescript-eslint/no-floating-promises': 'off' } },
 );
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -382,6 +382,13 @@
 /** ms that a node waits with taking an orphaned part of another node: prefers that its own node comes. */
 export const ORPHAN_WAIT_MS = 150;
 
+/**
+ * ms that a node which has just read the records waits longer with taking a partition that it has never seen claimed: its own
+ * node probably starts as well, a second sooner or later, and a partition taken in between is given back at once, for which
+ * all its workers must connect anew.
+ */
+export const START_GRACE_MS = 1500;
+
 /** Share of the state service's rates that one node may use by itself, while no 429 says that others need it. */
 export const RATE_SHARE = 0.8;
 
--- a/src/controller/claims.ts
+++ b/src/controller/claims.ts
@@ -1,4 +1,12 @@
-import { FRESH_MS, HEARTBEAT_MS, HOLD_TTL_MS, HOLDOVER_MARGIN_MS, CLOCK_DRIFT, ORPHAN_WAIT_MS } from '../constants.js';
+import {
+  FRESH_MS,
+  HEARTBEAT_MS,
+  HOLD_TTL_MS,
+  HOLDOVER_MARGIN_MS,
+  CLOCK_DRIFT,
+  ORPHAN_WAIT_MS,
+  START_GRACE_MS,
+} from '../constants.js';
 import type { Settings } from '../config/settings.js';
 import type { Book } from '../ledger/book.js';
 import { claimKey, type ClaimRecord } from '../ledger/records.js';
@@ -49,6 +57,8 @@
   private readonly held = new Map<string, Held>();
   private readonly orphanSince = new Map<string, number>();
   private readonly avoidUntil = new Map<string, number>();
+  /** Roles that somebody has held since this process read the records. */
+  private readonly seenClaimed = new Set<string>();
   private readonly taking = new Set<string>();
   private readonly ceding = new Set<string>();
   private readonly holdOver: number;
@@ -207,6 +217,14 @@
     await this.settle();
   }
 
+  /** ms by which another node's partition is left to that node, should it come for it. */
+  private courtesyMs(role: string): number {
+    if (role === LEADER) return 0;
+    const home = this.homeOf(Number(role.slice('part-'.length)));
+    if (this.peers.hasStore(home)) return HOLD_TTL_MS / 2;
+    return this.seenClaimed.has(role) ? 0 : START_GRACE_MS;
+  }
+
   /** Takes the roles that are this node's to take. */
   async settle(): Promise<void> {
     if (this.latch === undefined || !this.replica.loaded || !this.inTouch) return;
@@ -217,6 +235,7 @@
       const claim = this.book.claims.get(role);
       if (claim !== undefined) {
         this.orphanSince.delete(role);
+        this.seenClaimed.add(role);
         if (claim.record.node !== this.settings.node) return false;
         // Either a former life's, or ours by a transaction whose answer was lost.
         return this.holding(role) === undefined && !this.ceding.has(role) && !this.taking.has(role);
@@ -226,9 +245,8 @@
       const since = this.orphanSince.get(role) ?? now;
       this.orphanSince.set(role, since);
       const load = this.ownedParts().length * ORPHAN_WAIT_MS;
-      const home = role === LEADER ? undefined : this.homeOf(Number(role.slice('part-'.length)));
-      const courtesy = home !== undefined && this.peers.hasStore(home) ? HOLD_TTL_MS / 2 : 0;
-      return now - since >= load + courtesy + this.random.float() * ORPHAN_WAIT_MS;
+      const wait = load + this.courtesyMs(role) + this.random.float() * ORPHAN_WAIT_MS;
+      return now - since >= wait;
     });
     await Promise.all(
       wanted.map((role) => {
