--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -21,7 +21,7 @@
 import { Coverage } from '../mesh/coverage.js';
 import { Relays } from '../mesh/relays.js';
 import { Peers } from '../mesh/peers.js';
-import { Tellings } from '../mesh/tellings.js';
+import { SentMachineUpdates } from '../mesh/machine-updates.js';
 import type { Clock } from '../net/clock.js';
 import type { HttpClient } from '../net/http-client.js';
 import { Random } from '../net/random.js';
@@ -36,12 +36,12 @@
 import { JobCompletion } from './job-completion.js';
 import { Leader } from './leader.js';
 import type { Log } from './log.js';
-import { Mover } from './mover.js';
+import { Rescheduler } from './rescheduler.js';
 import { Owner } from './owner.js';
 import { isLarge } from './placer.js';
 import { Planner } from './planner.js';
 import { Rebalancer } from './rebalancer.js';
-import { Recaller } from './recaller.js';
+import { WithdrawalEnforcer } from './withdrawal-enforcer.js';
 
 const FLAVOR = `${LIVE}flavor/`;
 
@@ -55,12 +55,12 @@
   readonly planner: Planner;
   readonly leader: Leader;
   readonly jobs: Jobs;
-  private readonly recaller: Recaller;
+  private readonly withdrawalEnforcer: WithdrawalEnforcer;
   private readonly client: StateClient;
   private readonly committer: Committer;
   private readonly peers: Peers;
   private readonly coverage: Coverage;
-  private readonly mover: Mover;
+  private readonly rescheduler: Rescheduler;
   private readonly happiness: Happiness;
   private readonly random: Random;
   private gossiping = false;
@@ -70,7 +70,7 @@
   send: (node: string, message: Message) => boolean = () => false;
   /** ms between two reports of a worker. */
   private readonly periodMs: number;
-  private readonly tellings: Tellings;
+  private readonly sentUpdates: SentMachineUpdates;
   private readonly exchange: GossipExchange;
   private readonly completion: JobCompletion;
   private readonly rebalancer: Rebalancer;
@@ -86,7 +86,7 @@
     this.random = new Random(seed);
     this.periodMs = settings.cluster.workers.report_s * 1000;
     const life = randomInt(2 ** 47);
-    this.tellings = new Tellings(life);
+    this.sentUpdates = new SentMachineUpdates(life);
     const limits = txnLimits(settings.cluster.state);
     const peerNodes = settings.peers.map((peer) => peer.node);
     this.client = new StateClient(
@@ -179,7 +179,7 @@
       clock,
       log,
     );
-    this.mover = new Mover(
+    this.rescheduler = new Rescheduler(
       tuning,
       this.claims,
       this.book,
@@ -216,11 +216,11 @@
       claims: this.claims,
       owner: this.owner,
       fleet: this.fleet,
-      tellings: this.tellings,
+      sentUpdates: this.sentUpdates,
       isWithoutStore: () => this.withoutStore,
       sendSoon: () => this.gossipSoon(),
     });
-    this.recaller = new Recaller(this.claims, this.book, this.fleet, this.peers, http, clock, log);
+    this.withdrawalEnforcer = new WithdrawalEnforcer(this.claims, this.book, this.fleet, this.peers, http, clock, log);
     this.jobs = new Jobs(
       settings,
       this.client,
@@ -256,7 +256,7 @@
       this.log,
       (node) => this.gossip(node),
       (message) => this.receive(message),
-      (node) => this.tellings.renew(node),
+      (node) => this.sentUpdates.renew(node),
     );
     this.send = (node, message) => mesh.send(node, message);
     await Promise.all([mesh.run(signal), this.duties(signal)]);
@@ -270,10 +270,10 @@
       this.owner.run(signal),
       this.planner.run(signal),
       this.leader.run(signal),
-      this.mover.run(signal),
+      this.rescheduler.run(signal),
       this.every(FINISH_PERIOD_MS, signal, () => this.cleanUp()),
       this.every(SWEEP_MS, signal, () => this.rebalance()),
-      this.every(SWEEP_MS, signal, () => this.recaller.sweep()),
+      this.every(SWEEP_MS, signal, () => this.withdrawalEnforcer.sweep()),
       this.every(GREET_PERIOD_MS, signal, () => this.greet()),
     ]);
   }
--- a/src/controller/gossip-exchange.ts
+++ b/src/controller/gossip-exchange.ts
@@ -4,7 +4,12 @@
 import type { Coverage } from '../mesh/coverage.js';
 import type { Gossip, MachineNews } from '../mesh/messages.js';
 import type { Peers } from '../mesh/peers.js';
-import { Heard, ownAt, type Own, type Tellings } from '../mesh/tellings.js';
+import {
+  ReceivedMachineUpdates,
+  describeOwnMachines,
+  type OwnMachines,
+  type SentMachineUpdates,
+} from '../mesh/machine-updates.js';
 import type { Clock } from '../net/clock.js';
 import type { Replica } from '../state/replica.js';
 import { partRole, type Claims } from './claims.js';
@@ -23,7 +28,7 @@
   owner: Owner;
   fleet: Fleet;
   /** What each peer has been told of this node's machines. */
-  tellings: Tellings;
+  sentUpdates: SentMachineUpdates;
   /** The store refuses, or doesn't answer, this node. */
   isWithoutStore: () => boolean;
   /** Gossip goes out before its next turn. */
@@ -31,18 +36,18 @@
 }
 
 export class GossipExchange {
-  private readonly heard = new Heard();
+  private readonly receivedUpdates = new ReceivedMachineUpdates();
   /** Peers that must tell all once more. */
   private readonly missed = new Set<string>();
   /** Steady ms when the records had been read; undefined: not yet. */
   private loadedAt: number | undefined;
-  private own: Own = { at: -Infinity, machines: [] };
+  private own: OwnMachines = { at: -Infinity, machines: [] };
 
   constructor(private readonly dependencies: GossipExchangeDependencies) {}
 
   /** What this node has to tell one peer. */
   compose(to: string): Gossip {
-    const { settings, clock, replica, peers, coverage, claims, fleet, owner, tellings } = this.dependencies;
+    const { settings, clock, replica, peers, coverage, claims, fleet, owner, sentUpdates } = this.dependencies;
     const now = clock.now();
     if (this.loadedAt === undefined && replica.loaded) this.loadedAt = now;
     return {
@@ -52,7 +57,7 @@
       withoutStore: this.dependencies.isWithoutStore(),
       hears: peers.heard(),
       ...coverage.tell(to),
-      ...tellings.compose(to, this.ownMachines(now), this.othersMachines(now, to), now),
+      ...sentUpdates.compose(to, this.ownMachines(now), this.othersMachines(now, to), now),
       wants: this.missed.has(to),
       knocks: [
         ...[...owner.knocks].map(([host, at]) => ({ host, ageMs: now - at })),
@@ -65,13 +70,13 @@
   }
 
   /** The machines of this node's partitions, described once for all peers. */
-  private ownMachines(now: number): Own {
+  private ownMachines(now: number): OwnMachines {
     if (now - this.own.at < GOSSIP_VIEW_MS) return this.own;
     const { claims, fleet } = this.dependencies;
     // A node that must not answer its workers knows nothing of them either.
     const parts = claims.ownedParts().filter((part) => claims.mayAnswer(partRole(part)) !== undefined);
     const machines = fleet.own().filter(({ host }) => parts.includes(claims.partOf(host)));
-    this.own = ownAt(
+    this.own = describeOwnMachines(
       now,
       machines.map((machine) => encodeMachine(machine, now, now)),
     );
@@ -95,13 +100,13 @@
 
   /** Takes in what a peer tells. */
   receive(gossip: Gossip): void {
-    const { clock, peers, coverage, fleet, tellings } = this.dependencies;
+    const { clock, peers, coverage, fleet, sentUpdates } = this.dependencies;
     peers.hear(gossip);
     coverage.hear(gossip);
     for (const host of gossip.gone) fleet.remove(host);
     const now = clock.now();
-    if (gossip.wants) tellings.renew(gossip.node);
-    const { machines, same, gap } = this.heard.take(gossip);
+    if (gossip.wants) sentUpdates.renew(gossip.node);
+    const { machines, same, gap } = this.receivedUpdates.take(gossip);
     if (gap) this.noteGap(gossip.node);
     if (gossip.whole) this.missed.delete(gossip.node);
     for (const machine of machines) fleet.hear(decodeMachine(machine, now), now - machine.knownAgeMs);
--- a/src/controller/mover.ts
+++ b/src/controller/rescheduler.ts
@@ -21,7 +21,7 @@
 }
 
 /** The design's heart: tests the happiness of each part's service tasks and re-matches when some are unhappy. */
-export class Mover {
+export class Rescheduler {
   constructor(
     private readonly tuning: Tuning,
     private readonly claims: Claims,
--- a/src/controller/recaller.ts
+++ b/src/controller/withdrawal-enforcer.ts
@@ -16,7 +16,7 @@
  * here, and it learns of the exits by the next report. That the tasks go in time does not rest on this; it only stops them
  * sooner.
  */
-export class Recaller {
+export class WithdrawalEnforcer {
   private readonly sentAt = new Map<string, number>();
   private sending = 0;
 
--- a/src/mesh/tellings.ts
+++ b/src/mesh/machine-updates.ts
@@ -10,13 +10,13 @@
 };
 
 /** The sender's own machines as they were at one moment, for all peers that are told within the next. */
-export interface Own {
+export interface OwnMachines {
   /** Steady ms. */
   at: number;
   machines: readonly { news: MachineNews; lasting: string }[];
 }
 
-export const ownAt = (at: number, machines: readonly MachineNews[]): Own => ({
+export const describeOwnMachines = (at: number, machines: readonly MachineNews[]): OwnMachines => ({
   at,
   machines: machines.map((news) => ({ news, lasting: lasting(news) })),
 });
@@ -25,7 +25,7 @@
  * What each peer has been told of this node's own machines. Said again in full every second, that grows with machines and
  * nodes; so a peer is told in full what has changed, and of the rest only when it was last heard, by its number.
  */
-export class Tellings {
+export class SentMachineUpdates {
   private readonly numbers = new Map<string, number>();
   private next = 0;
   private readonly peers = new Map<string, { seq: number; told: Map<string, string> }>();
@@ -38,7 +38,7 @@
     this.peers.get(peer)?.told.clear();
   }
 
-  compose(peer: string, own: Own, passedOn: readonly MachineNews[], now: number): Told {
+  compose(peer: string, own: OwnMachines, passedOn: readonly MachineNews[], now: number): Told {
     const { machines } = own;
     const age = now - own.at;
     // Names never come back, so numbers of machines that are gone are given up now and then.
@@ -72,28 +72,32 @@
 }
 
 /** A machine of which nothing is new but these. */
-export interface Same {
+export interface UnchangedMachine {
   machine: MachineNews;
   heardAgeMs: number;
   tick: number;
 }
 
 /** What the peers have told of their machines so far. */
-export class Heard {
+export class ReceivedMachineUpdates {
   private readonly senders = new Map<string, { life: number; seq: number; machines: Map<number, MachineNews> }>();
 
   /**
    * The machines that a message speaks of: those told in full, and those of which no more than the times is new. `gap`: the
    * message builds on something that never came.
    */
-  take({ node, life, seq, whole, machines, same }: Gossip): { machines: MachineNews[]; same: Same[]; gap: boolean } {
+  take({ node, life, seq, whole, machines, same }: Gossip): {
+    machines: MachineNews[];
+    same: UnchangedMachine[];
+    gap: boolean;
+  } {
     let sender = this.senders.get(node);
     // A message of a former life, or one that a newer has overtaken, says nothing that is not known better.
     if (sender?.life === life && seq <= sender.seq) return { machines: [], same: [], gap: false };
     const gap = !whole && (sender?.life !== life || seq !== sender.seq + 1);
     if (sender === undefined || whole || gap) this.senders.set(node, (sender = { life, seq, machines: new Map() }));
     sender.seq = seq;
-    const still: Same[] = [];
+    const still: UnchangedMachine[] = [];
     for (const machine of machines) if (machine.number >= 0) sender.machines.set(machine.number, machine);
     for (const [at, number] of same.numbers.entries()) {
       const machine = sender.machines.get(number);
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { decodeChunk, withSlot, type Slot } from '../src/ledger/records.js';
 import type { Gossip, MachineNews } from '../src/mesh/messages.js';
-import { Heard, ownAt, Tellings } from '../src/mesh/tellings.js';
+import { ReceivedMachineUpdates, describeOwnMachines, SentMachineUpdates } from '../src/mesh/machine-updates.js';
 import { Priority } from '../src/net/token-bucket.js';
 import { Random } from '../src/net/random.js';
 import type { StateClient, TxnResult } from '../src/state/client.js';
@@ -36,7 +36,7 @@
   ...fields,
 });
 
-const asGossip = (told: ReturnType<Tellings['compose']>): Gossip => ({
+const asGossip = (told: ReturnType<SentMachineUpdates['compose']>): Gossip => ({
   ...{
     node: 'n0',
     upMs: 1,
@@ -59,11 +59,14 @@
   const many = Array.from({ length: 300 }, (_, n) => machine(`i-${n}`));
 
   it('tells in full only what has changed, and of the rest when it was heard', () => {
-    const tellings = new Tellings(1);
-    const heard = new Heard();
-    assert.equal(heard.take(asGossip(tellings.compose('n1', ownAt(0, many), [], 0))).machines.length, 300);
+    const sentUpdates = new SentMachineUpdates(1);
+    const heard = new ReceivedMachineUpdates();
+    assert.equal(
+      heard.take(asGossip(sentUpdates.compose('n1', describeOwnMachines(0, many), [], 0))).machines.length,
+      300,
+    );
     const later = many.map((each, n) => ({ ...each, tick: 9, heardAgeMs: 40, cooling: n === 7 }));
-    const told = tellings.compose('n1', ownAt(1000, later), [], 1010);
+    const told = sentUpdates.compose('n1', describeOwnMachines(1000, later), [], 1010);
     assert.deepEqual(
       told.machines.map(({ host }) => host),
       ['i-7'],
@@ -76,31 +79,31 @@
   });
 
   it('is told whole again to a peer that has missed some, which believes nothing built on it until then', () => {
-    const tellings = new Tellings(1);
-    const heard = new Heard();
-    heard.take(asGossip(tellings.compose('n1', ownAt(0, many), [], 0)));
+    const sentUpdates = new SentMachineUpdates(1);
+    const heard = new ReceivedMachineUpdates();
+    heard.take(asGossip(sentUpdates.compose('n1', describeOwnMachines(0, many), [], 0)));
     // Lost: machine 3 has begun a new session.
     const now = many.map((each, n) => (n === 3 ? { ...each, tenure: 2 } : each));
-    tellings.compose('n1', ownAt(1000, now), [], 1000);
-    const after = heard.take(asGossip(tellings.compose('n1', ownAt(2000, now), [], 2000)));
+    sentUpdates.compose('n1', describeOwnMachines(1000, now), [], 1000);
+    const after = heard.take(asGossip(sentUpdates.compose('n1', describeOwnMachines(2000, now), [], 2000)));
     assert.equal(after.gap, true);
     assert.equal(after.machines.length + after.same.length, 0);
-    tellings.renew('n1');
-    const whole = heard.take(asGossip(tellings.compose('n1', ownAt(3000, now), [], 3000)));
+    sentUpdates.renew('n1');
+    const whole = heard.take(asGossip(sentUpdates.compose('n1', describeOwnMachines(3000, now), [], 3000)));
     assert.equal(whole.gap, false);
     assert.equal(whole.machines.find(({ host }) => host === 'i-3')!.tenure, 2);
   });
 
   it('of a former life, or held back by a cut, changes nothing', () => {
-    const tellings = new Tellings(1);
-    const heard = new Heard();
-    const first = asGossip(tellings.compose('n1', ownAt(0, many), [], 0));
-    const second = asGossip(tellings.compose('n1', ownAt(1000, many), [], 1000));
+    const sentUpdates = new SentMachineUpdates(1);
+    const heard = new ReceivedMachineUpdates();
+    const first = asGossip(sentUpdates.compose('n1', describeOwnMachines(0, many), [], 0));
+    const second = asGossip(sentUpdates.compose('n1', describeOwnMachines(1000, many), [], 1000));
     heard.take(first);
     heard.take(second);
     assert.equal(heard.take(first).machines.length, 0);
-    const restarted = new Tellings(2);
-    assert.equal(heard.take(asGossip(restarted.compose('n1', ownAt(0, many), [], 0))).gap, false);
+    const restarted = new SentMachineUpdates(2);
+    assert.equal(heard.take(asGossip(restarted.compose('n1', describeOwnMachines(0, many), [], 0))).gap, false);
   });
 
   it('goes on between controllers when one message was lost', async () => {
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -3,7 +3,7 @@
 import { DEFAULT_TUNING, MAX_PLAN_REST_MS, PLAN_REST_LEAST, WORK_SHARE } from '../src/constants.js';
 import type { Claims } from '../src/controller/claims.js';
 import type { Fleet } from '../src/controller/fleet.js';
-import { Mover } from '../src/controller/mover.js';
+import { Rescheduler } from '../src/controller/rescheduler.js';
 import { planRestMs, type Planner } from '../src/controller/planner.js';
 import type { Book } from '../src/ledger/book.js';
 import { Random } from '../src/net/random.js';
@@ -26,7 +26,7 @@
     const record = { spec: { Shape: 'service', Shards: 5 }, phase: 'active' };
     const jobs = { values: () => [{ record, placed }] };
     const fleet = { all: () => (looks++, new Map()), isOpen: () => true };
-    const mover = new Mover(
+    const rescheduler = new Rescheduler(
       DEFAULT_TUNING,
       { inTouch: true, ownedParts: () => [0], partOf: () => 0 } as unknown as Claims,
       { jobs, placesOn: () => [] } as unknown as Book,
@@ -38,7 +38,7 @@
       new Random(1),
       { error: () => undefined, warn: () => undefined, info: () => undefined, debug: () => undefined },
     );
-    void mover.run(stop.signal);
+    void rescheduler.run(stop.signal);
     await clock.advance(60_000);
     assert.equal(looks, 0);
     placed = 4;
