--- a/src/controller/fleet.ts
+++ b/src/controller/fleet.ts
@@ -14,6 +14,7 @@
 import type { Claims, Held } from './claims.js';
 import { partRole } from './claims.js';
 import type { Owner } from './owner.js';
+import type { MachineState } from '../workers/machine-state.js';
 import { isNewerThan, type Report } from '../workers/report.js';
 import type { Worker } from '../workers/worker.js';
 
@@ -31,29 +32,11 @@
 }
 
 /** A machine as every node may know it: from its own workers' reports or from the owner's gossip. */
-export interface MachineInfo {
-  host: string;
-  endpoint: string;
-  flavor: string;
-  site: string;
-  reclaimable: boolean;
-  tenure: number;
-  tick: number;
+export interface MachineInfo extends MachineState {
   /** Steady ms, this node's clock. */
   heardAt: number;
   /** Steady ms when the cloud takes it away, or null. */
   warnedUntil: number | null;
-  sick: boolean;
-  cooling: boolean;
-  /** Nothing shows that answers reach it. */
-  unreached: boolean;
-  slow: boolean;
-  /** Its reports arrive, but answers have not reached it for a lease. */
-  mute: boolean;
-  images: string[];
-  failedJobs: string[];
-  /** The node that says so, as the owner of the machine's part. */
-  owner: string;
 }
 
 /** All machines that are known to be up, and the catalogue of their types. */
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -1,5 +1,6 @@
 import avro from 'avsc';
 import type { SentChange } from '../state/replica.js';
+import type { MachineState } from '../workers/machine-state.js';
 
 /** What each controller tells the others every second. */
 export interface Gossip {
@@ -38,32 +39,14 @@
   gone: string[];
 }
 
-export interface MachineNews {
-  host: string;
+export interface MachineNews extends MachineState {
   /** By which the sender speaks of it from now on; -1: not at all. */
   number: number;
-  endpoint: string;
-  flavor: string;
-  site: string;
-  reclaimable: boolean;
-  tenure: number;
-  /** Of the newest report heard: older ones are late copies. */
-  tick: number;
   heardAgeMs: number;
   /** ms since the machine's owner said this; 0 from the owner itself. */
   knownAgeMs: number;
   /** ms until the cloud takes it, or null. */
   warnedMs: number | null;
-  sick: boolean;
-  cooling: boolean;
-  unreached: boolean;
-  slow: boolean;
-  /** Its reports arrive, but answers have not reached it for a lease. */
-  mute: boolean;
-  images: string[];
-  failedJobs: string[];
-  /** The node that owns the machine's part and says so. */
-  owner: string;
 }
 
 const gossipSchema: avro.Schema = {
--- a/src/workers/report.ts
+++ b/src/workers/report.ts
@@ -1,4 +1,6 @@
+/** The reports that workers send, and the orders that they get. */
 import * as v from 'valibot';
+import type { MachineIdentity } from './machine-state.js';
 
 const count = v.pipe(v.number(), v.integer(), v.minValue(0));
 const text = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
@@ -32,14 +34,8 @@
   saved: boolean;
 }
 
-export interface Report {
-  host: string;
-  endpoint: string;
-  flavor: string;
-  site: string;
-  reclaimable: boolean;
-  tenure: number;
-  tick: number;
+/** One report of a worker. */
+export interface Report extends MachineIdentity {
   fence: number;
   warningS: number | null;
   tasks: Map<string, ReportedTask>;
