--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -6,7 +6,6 @@
   GREET_PERIOD_MS,
   SWEEP_MS,
   FINISH_PERIOD_MS,
-  NEWS_GATHER_MS,
   WATCH_HEARD_PAUSE_MS,
   WATCH_PAUSE_MS,
 } from '../constants.js';
@@ -17,7 +16,7 @@
 import { Book, type JobView } from '../ledger/book.js';
 import { LIVE, parseShard, shardName } from '../ledger/records.js';
 import { Mesh, splitAddress } from '../mesh/mesh.js';
-import type { Gossip, Message, News } from '../mesh/messages.js';
+import type { Gossip, Message, Relay } from '../mesh/messages.js';
 import { Coverage } from '../mesh/coverage.js';
 import { Relays } from '../mesh/relays.js';
 import { Peers } from '../mesh/peers.js';
@@ -26,10 +25,10 @@
 import type { HttpClient } from '../net/http-client.js';
 import { Random } from '../net/random.js';
 import { Happiness } from '../placement/happiness.js';
-import { StateClient, type Change } from '../state/client.js';
+import { StateClient } from '../state/client.js';
 import { Committer, txnLimits } from '../state/committer.js';
-import { readChanges, Replica } from '../state/replica.js';
-import { decodeReport, type Report } from '../workers/report.js';
+import { Replica } from '../state/replica.js';
+import type { Report } from '../workers/report.js';
 import { Claims, LEADER, partRole } from './claims.js';
 import { Fleet } from './fleet.js';
 import { GossipExchange } from './gossip-exchange.js';
@@ -41,6 +40,8 @@
 import { isLarge } from './placer.js';
 import { Planner } from './planner.js';
 import { Rebalancer } from './rebalancer.js';
+import { RecordBroadcast } from './record-broadcast.js';
+import { ReportService } from './report-service.js';
 import { WithdrawalEnforcer } from './withdrawal-enforcer.js';
 
 const FLAVOR = `${LIVE}flavor/`;
@@ -64,7 +65,6 @@
   private readonly happiness: Happiness;
   private readonly random: Random;
   private gossiping = false;
-  private readonly news: Change[] = [];
   private readonly relays: Relays;
   /** Set by whoever links the controllers: the mesh, or a test. */
   send: (node: string, message: Message) => boolean = () => false;
@@ -74,6 +74,8 @@
   private readonly exchange: GossipExchange;
   private readonly completion: JobCompletion;
   private readonly rebalancer: Rebalancer;
+  private readonly broadcast: RecordBroadcast;
+  private readonly reports: ReportService;
 
   constructor(
     private readonly settings: Settings,
@@ -117,7 +119,15 @@
     this.coverage = new Coverage(settings.node, peerNodes, life, this.replica, clock, (node, message) =>
       this.send(node, message),
     );
-    this.committer.announce = (changes) => this.tell(changes);
+    this.broadcast = new RecordBroadcast({
+      peers: peerNodes,
+      replica: this.replica,
+      committer: this.committer,
+      clock,
+      log,
+      send: (node, message) => this.send(node, message),
+    });
+    this.committer.announce = (changes) => this.broadcast.announce(changes);
     this.claims = new Claims(
       settings,
       this.client,
@@ -191,6 +201,13 @@
       this.random,
       log,
     );
+    this.reports = new ReportService({
+      node: settings.node,
+      owner: this.owner,
+      relays: this.relays,
+      log,
+      onMisdirected: () => this.gossipSoon(),
+    });
     this.completion = new JobCompletion({
       claims: this.claims,
       book: this.book,
@@ -300,20 +317,12 @@
     return !this.claims.inTouch && this.client.lastRefusal > this.client.lastOk;
   }
 
+  /** Answers a worker's report. */
   hello(body: unknown): Answer | Promise<Answer> {
-    const report = decodeReport(body);
-    if (report === undefined) return { status: 400, body: { error: 'not a report' } };
-    const knocked = this.owner.knocks.has(report.host);
-    const answer = this.owner.hello(report);
-    if (!knocked && this.owner.knocks.has(report.host)) this.gossipSoon();
-    // It has been sent to its owner before and is back: it can't get there, but this node may.
-    if (answer.status === 421 && answer.again && answer.body.Steward !== undefined) {
-      return this.relay(answer.body.Steward, body);
-    }
-    return answer;
+    return this.reports.answer(body);
   }
 
-  /** A worker that knocks at a stranger is news that others wait for before they take it for dead. */
+  /** Gossip goes out before its next turn. */
   private gossipSoon(): void {
     if (this.gossiping) return;
     this.gossiping = true;
@@ -328,46 +337,6 @@
     return this.peers.heard().length < peers.length ? WATCH_PAUSE_MS : WATCH_HEARD_PAUSE_MS;
   }
 
-  /** Collects what this node's transactions have changed, and tells the peers. */
-  private tell(changes: Change[]): void {
-    if (this.settings.peers.length === 0) return;
-    this.news.push(...changes);
-    if (this.news.length > changes.length) return;
-    void this.clock.sleep(NEWS_GATHER_MS).then(() => {
-      const told = this.news.splice(0).map(({ key, value, stamp }) => ({
-        key,
-        value: value === undefined ? null : JSON.stringify(value),
-        stamp,
-      }));
-      const message: Message = { news: { changes: told } };
-      for (const { node } of this.settings.peers) this.send(node, message);
-    });
-  }
-
-  private learn({ changes }: News): void {
-    let read: Change[];
-    try {
-      // All or nothing: a transaction's changes belong together.
-      read = readChanges(changes);
-    } catch (error) {
-      this.log.warn({ error: String(error) }, 'news of a peer can not be read');
-      void this.replica.refresh();
-      return;
-    }
-    for (const change of read) {
-      const { key } = change;
-      if (key.startsWith(LIVE)) this.replica.hear(change);
-      else this.committer.remember(key, change);
-    }
-  }
-
-  private async relay(owner: string, body: unknown): Promise<Answer> {
-    const answer = await this.relays.ask(owner, body);
-    const orders = answer?.status === 200 ? parseJson(answer.body) : undefined;
-    if (orders === undefined) return { status: 421, body: { Steward: owner } };
-    return { status: 200, body: orders };
-  }
-
   /** What this node has to tell one peer. */
   gossip(to: string): Gossip {
     return this.exchange.compose(to);
@@ -377,19 +346,15 @@
   receive(message: Message): void {
     if ('gossip' in message) this.exchange.receive(message.gossip);
     else if ('relayAnswer' in message) this.relays.take(message.relayAnswer);
-    else if ('news' in message) this.learn(message.news);
+    else if ('news' in message) this.broadcast.receive(message.news);
     else if ('ask' in message) this.coverage.answer(message.ask);
     else if ('delta' in message) this.coverage.take(message.delta);
-    else {
-      const { node, id, report: text } = message.relay;
-      const report = decodeReport(parseJson(text));
-      if (report === undefined) {
-        this.log.warn({ from: node }, 'relayed report can not be read');
-        return;
-      }
-      const { status, body } = this.owner.hello(report, node);
-      this.send(node, { relayAnswer: { node: this.settings.node, id, status, body: JSON.stringify(body) } });
-    }
+    else this.answerRelayed(message.relay);
+  }
+
+  private answerRelayed(relay: Relay): void {
+    const relayAnswer = this.reports.answerRelayed(relay);
+    if (relayAnswer !== undefined) this.send(relay.node, { relayAnswer });
   }
 
   private takeFlavor(key: string, value: unknown): void {
@@ -467,12 +432,3 @@
     }
   }
 }
-
-/** undefined: not JSON. */
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text) as unknown;
-  } catch {
-    return undefined;
-  }
-}
--- /dev/null
+++ b/src/controller/record-broadcast.ts
@@ -0,0 +1,64 @@
+/** Tells the peers which records this node's transactions have changed, and takes in what theirs have changed. */
+import { NEWS_GATHER_MS } from '../constants.js';
+import { LIVE } from '../ledger/records.js';
+import type { Message, News } from '../mesh/messages.js';
+import type { Clock } from '../net/clock.js';
+import type { Change } from '../state/client.js';
+import type { Committer } from '../state/committer.js';
+import { readChanges, type Replica, type SentChange } from '../state/replica.js';
+import type { Log } from './log.js';
+
+export interface RecordBroadcastDependencies {
+  peers: readonly string[];
+  replica: Replica;
+  committer: Committer;
+  clock: Clock;
+  log: Log;
+  send: (node: string, message: Message) => void;
+}
+
+export class RecordBroadcast {
+  /** Changes that the peers have not been told yet. */
+  private readonly pending: Change[] = [];
+
+  constructor(private readonly dependencies: RecordBroadcastDependencies) {}
+
+  /** Collects changes for a moment, and tells the peers of them together. */
+  announce(changes: readonly Change[]): void {
+    const { peers, clock } = this.dependencies;
+    if (peers.length === 0 || changes.length === 0) return;
+    const isScheduled = this.pending.length > 0;
+    this.pending.push(...changes);
+    if (!isScheduled) void clock.sleep(NEWS_GATHER_MS).then(() => this.flush());
+  }
+
+  private flush(): void {
+    const { peers, send } = this.dependencies;
+    const message: Message = { news: { changes: this.pending.splice(0).map(encodeChange) } };
+    for (const peer of peers) send(peer, message);
+  }
+
+  /** Takes in what a peer's transactions have changed. */
+  receive({ changes }: News): void {
+    const { replica, committer, log } = this.dependencies;
+    let read: Change[];
+    try {
+      // All or nothing: a transaction's changes belong together.
+      read = readChanges(changes);
+    } catch (error) {
+      log.warn({ error: String(error) }, 'news of a peer can not be read');
+      void replica.refresh();
+      return;
+    }
+    for (const change of read) {
+      if (change.key.startsWith(LIVE)) replica.hear(change);
+      else committer.remember(change.key, change);
+    }
+  }
+}
+
+const encodeChange = ({ key, value, stamp }: Change): SentChange => ({
+  key,
+  value: value === undefined ? null : JSON.stringify(value),
+  stamp,
+});
