--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -1,7 +1,9 @@
+/** The platform's settings (JSON) and the operators' own (TOML), checked field by field. */
 import { readFileSync } from 'node:fs';
 import * as v from 'valibot';
 import { parse as parseToml } from 'smol-toml';
 import { DEFAULT_TUNING } from '../constants.js';
+import { limitTooSmall } from './least-limits.js';
 
 const text = v.pipe(v.string(), v.minLength(1));
 const address = v.pipe(v.string(), v.regex(/^[^\s:]+:\d{1,5}$/, 'must be HOST:PORT'));
@@ -96,7 +98,10 @@
   } catch (error) {
     throw new SettingsError(`${where}: not JSON: ${(error as Error).message}`);
   }
-  return check(SettingsSchema, raw, where);
+  const settings = check(SettingsSchema, raw, where);
+  const fault = limitTooSmall(settings);
+  if (fault !== undefined) throw new SettingsError(`${where}: ${fault}`);
+  return settings;
 }
 
 export function parseTuning(text: string, where: string): Tuning {
--- a/test/client.test.ts
+++ b/test/client.test.ts
@@ -2,6 +2,16 @@
 import { describe, it } from 'node:test';
 import { CloudClient } from '../src/cloud/client.js';
 import { parseSettings, parseTuning, SettingsError } from '../src/config/settings.js';
+import {
+  LEAST_CPU_SHARE,
+  LEAST_RAM_MB,
+  LEAST_SOCKETS,
+  LEAST_STATE_REQUESTS_PER_NODE,
+  LEAST_STATE_WRITES,
+  LEAST_TRANSACTION_WRITES,
+  LEAST_VALUE_KB,
+} from '../src/constants.js';
+import { settingsOf } from '../src/testing/cluster.js';
 import { NoAnswer, type HttpClient, type Reply } from '../src/net/http-client.js';
 import { Random } from '../src/net/random.js';
 import { Priority } from '../src/net/token-bucket.js';
@@ -76,4 +86,26 @@
     assert.throws(() => parseTuning('treshold = 0.9', 'f.toml'), /treshold/);
     assert.equal(parseTuning('threshold = 0.8', 'f.toml').threshold, 0.8);
   });
+
+  it('with a limit too small to run with are refused with the name of the field and what is needed', () => {
+    const good = settingsOf(0, 3);
+    const parse = (cluster: object) => parseSettings(JSON.stringify({ ...good, cluster }), 'f.json');
+    const tooSmall: [group: 'limits' | 'state', field: string, value: number][] = [
+      ['limits', 'cpu', LEAST_CPU_SHARE / 2],
+      ['limits', 'ram_mb', LEAST_RAM_MB - 1],
+      ['limits', 'sockets', LEAST_SOCKETS - 1],
+      ['state', 'rps', LEAST_STATE_REQUESTS_PER_NODE * 3 - 1],
+      ['state', 'write_rps', LEAST_STATE_WRITES / 2],
+      ['state', 'value_kb', LEAST_VALUE_KB / 2],
+      ['state', 'txn_ops', LEAST_TRANSACTION_WRITES - 1],
+    ];
+    for (const [group, field, value] of tooSmall) {
+      const cluster = { ...good.cluster, [group]: { ...good.cluster[group], [field]: value } };
+      assert.throws(
+        () => parse(cluster),
+        (error) => error instanceof SettingsError && error.message.includes(`cluster.${group}.${field}: must be`),
+      );
+    }
+    assert.equal(parse({ ...good.cluster, limits: { cpu: 0.051, ram_mb: 108, sockets: 700 } }).cluster.size, 3);
+  });
 });
