--- a/test/meetings-jobs.test.ts
+++ b/test/combined-faults-jobs.test.ts
@@ -3,7 +3,7 @@
 import type { Answer } from '../src/api/jobs.js';
 import { Cluster, jobOf, type ClusterOptions } from '../src/testing/cluster.js';
 
-/** Meetings of two troubles on the way of users' jobs; each story ends with the judge's verdict. */
+/** Two faults combined on the way of users' jobs; each scenario ends with the verdict of the invariant checker. */
 let cluster: Cluster;
 afterEach(() => assert.deepEqual(cluster.verdict(), []));
 
@@ -52,7 +52,7 @@
   cluster.network.heal();
 }
 
-/** Users ask about the jobs every 5 s, each time another node, until the story ends. */
+/** Users ask about the jobs every 5 s, each time another node, until the scenario ends. */
 function askAll(refs: readonly string[], forMs: number): Map<string, Answer[]> {
   const answers = new Map<string, Answer[]>(refs.map((ref) => [ref, []]));
   for (const [at, ref] of refs.entries()) {
--- a/test/meetings-leaders.test.ts
+++ b/test/combined-faults-leaders.test.ts
@@ -163,7 +163,7 @@
     await ready(6);
     for (let n = 0; n < 4; n++) await cluster.submit({ ...service, Ref: `j-svc${n}`, Shards: 3 });
     cluster.store.out = true;
-    for (const node of NODES) void cluster.node(node).claims.cede(`part-${node}`, 'story', 3000);
+    for (const node of NODES) void cluster.node(node).claims.cede(`part-${node}`, 'scenario', 3000);
     await cluster.advance(45_000);
     cluster.store.endOutage();
     await cluster.advance(15_000);
@@ -175,7 +175,7 @@
   it('that have given up their own part leave it to others for the while that was said', async () => {
     await ready(3);
     const taken = cluster.node(0).claims.holding('part-0')!.fence;
-    void cluster.node(0).claims.cede('part-0', 'story', 8000);
+    void cluster.node(0).claims.cede('part-0', 'scenario', 8000);
     await cluster.advance(5000);
     assert.notEqual(holder('part-0'), 0);
     await cluster.advance(8000);
@@ -193,8 +193,8 @@
       for (let round = 0; round < 6; round++) {
         const from = holder(`part-${round % 3}`);
         if (!cluster.has(from)) continue;
-        void cluster.node(from).claims.cede(`part-${round % 3}`, 'story', 500);
-        if (cluster.has(holder('leader'))) void cluster.node(holder('leader')).claims.cede('leader', 'story', 500);
+        void cluster.node(from).claims.cede(`part-${round % 3}`, 'scenario', 500);
+        if (cluster.has(holder('leader'))) void cluster.node(holder('leader')).claims.cede('leader', 'scenario', 500);
         await cluster.advance(300);
         cluster.crash(from);
         await cluster.advance(150 * round);
@@ -417,7 +417,7 @@
         if (round % 2 === 1) void cluster.users.withdraw(`j-a${round}0`);
         const part = `part-${round % 3}`;
         const [owner, leader] = [holder(part), holder('leader')];
-        if (round % 3 === 0 && cluster.has(owner)) void cluster.node(owner).claims.cede(part, 'story', 2000);
+        if (round % 3 === 0 && cluster.has(owner)) void cluster.node(owner).claims.cede(part, 'scenario', 2000);
         if (round % 3 === 1 && cluster.has(leader)) void cluster.restart(leader, 300);
         await cluster.advance(3000);
       }
--- a/test/meetings-workers.test.ts
+++ b/test/combined-faults-workers.test.ts
@@ -3,7 +3,7 @@
 import { Cluster, jobOf, type ClusterOptions } from '../src/testing/cluster.js';
 
 let cluster: Cluster;
-/** Every story ends with the judge's verdict. */
+/** Every scenario ends with the verdict of the invariant checker. */
 afterEach(() => assert.deepEqual(cluster.verdict(), []));
 
 async function ready(machines: number, options: ClusterOptions = { nodes: 3 }, runMs = 5000): Promise<Cluster> {
@@ -261,7 +261,7 @@
     for (const node of others) cluster.parted.add(`n${node}>n${home}`);
     await until(() => cluster.runs('j-svc/0').length === 2 && !cluster.workers.get(host)!.tasks.has('j-svc/0'));
     for (const node of others) cluster.parted.delete(`n${node}>n${home}`);
-    void cluster.node(former).claims.cede(role, 'for the story', 15_000);
+    void cluster.node(former).claims.cede(role, 'for the scenario', 15_000);
     await until(() => cluster.node(home).claims.holding(role) !== undefined, 1000);
     assert.ok(cluster.node(home).claims.inTouch);
     await cluster.advance(1000);
--- a/test/drawn.test.ts
+++ b/test/randomized.test.ts
@@ -2,10 +2,10 @@
 import { describe, it } from 'node:test';
 import { play, scheduleOf, type Schedule } from '../src/testing/drawn.js';
 
-/** A few of the stories that `npm run drawn` plays by the hundred. */
+/** A few of the randomized scenarios that `npm run drawn` runs by the hundred. */
 const SEEDS = [1, 9, 12, 22];
 
-describe('a story with drawn troubles', () => {
+describe('a scenario with random faults', () => {
   it('breaks no rule where cancellations meet a refusal, cuts and an outage (it does if the hold-over has no end)', async () => {
     const schedule: Schedule = {
       seed: 1,
--- a/test/gap.test.ts
+++ b/test/store-outage.test.ts
@@ -40,6 +40,14 @@
   };
 }
 
+/** A service of a machine of n0's part; the store then refuses n0, and its peers are cut off from it. */
+async function isolateOwner(): Promise<{ ref: string; reconnect: () => void }> {
+  await ready();
+  const ref = await runOnNode0();
+  cluster.store.refused.add('n0');
+  return { ref, reconnect: part('n0') };
+}
+
 /** Calls a job off through a node that is not the refused one; returns the steady ms of the confirmation. */
 async function callOff(ref: string, node: number): Promise<number> {
   let at = NaN;
@@ -61,25 +69,19 @@
 describe('the store refuses an owner alone, a peer confirms a cancellation, then the store is out for all', () => {
   for (const refusedMs of [200, 1000, 2000, 2700]) {
     it(`after ${refusedMs} ms: the tasks are gone in time, though the news was lost`, async () => {
-      await ready();
-      const ref = await runOnNode0();
-      cluster.store.refused.add('n0');
-      const heal = part('n0');
+      const { ref, reconnect } = await isolateOwner();
       await cluster.advance(refusedMs / 2);
       const at = await callOff(ref, 1);
       await cluster.advance(Math.max(0, refusedMs / 2 - 300));
       cluster.store.out = true;
-      heal();
+      reconnect();
       await cluster.advance(64_000);
       assertGoneInTime(ref, at);
     });
   }
 
   it('and they are gone in time where the mesh stays cut, by the clock alone', async () => {
-    await ready();
-    const ref = await runOnNode0();
-    cluster.store.refused.add('n0');
-    part('n0');
+    const { ref } = await isolateOwner();
     const at = await callOff(ref, 1);
     cluster.store.out = true;
     await cluster.advance(64_000);
@@ -87,10 +89,7 @@
   });
 
   it('and the word of a node that came back in the outage does not stand for what its former life confirmed', async () => {
-    await ready();
-    const ref = await runOnNode0();
-    cluster.store.refused.add('n0');
-    const heal = part('n0');
+    const { ref, reconnect } = await isolateOwner();
     // Nobody but n1 hears of it either.
     const alone = part('n1');
     const watch = cluster.network.fault({ from: 'n2', path: /^\/watch/, kind: 'lose' });
@@ -100,7 +99,7 @@
     watch();
     cluster.start(1);
     alone();
-    heal();
+    reconnect();
     await cluster.advance(64_000);
     assertGoneInTime(ref, at);
   });
@@ -120,10 +119,7 @@
   });
 
   it('and tasks called off are stopped by whoever reaches the machine, without waiting for their owner', async () => {
-    await ready();
-    const ref = await runOnNode0();
-    cluster.store.refused.add('n0');
-    part('n0');
+    const { ref } = await isolateOwner();
     const at = await callOff(ref, 1);
     cluster.store.out = true;
     await cluster.advance(8000);
