--- a/src/api/server.ts
+++ b/src/api/server.ts
@@ -58,10 +58,13 @@
 
   private serve(request: IncomingMessage, response: ServerResponse): void {
     const route = this.routes.find(request.url ?? '/');
+    if (route === undefined) {
+      refuse(request, response, NO_SUCH_PATH);
+      return;
+    }
     const refusal = this.whyRefused(route, request.method);
-    if (route === undefined || refusal !== undefined) {
-      request.resume();
-      send(response, refusal ?? NO_SUCH_PATH);
+    if (refusal !== undefined) {
+      refuse(request, response, refusal);
       return;
     }
     const release = route.isBounded ? this.countOpen(request) : undefined;
@@ -81,8 +84,7 @@
     });
   }
 
-  private whyRefused(route: Route | undefined, method: string | undefined): Answer | undefined {
-    if (route === undefined) return NO_SUCH_PATH;
+  private whyRefused(route: Route, method: string | undefined): Answer | undefined {
     if (route.method !== method) return WRONG_METHOD;
     return route.isBounded && this.open >= MAX_OPEN_REQUESTS ? BUSY : undefined;
   }
@@ -127,6 +129,12 @@
   }
 }
 
+/** Answers without looking at the body. */
+function refuse(request: IncomingMessage, response: ServerResponse, refusal: Answer): void {
+  request.resume();
+  send(response, refusal);
+}
+
 /** `closing` says that the connection ends with this answer, and is called when the answer is on its way. */
 function send(response: ServerResponse, answer: Answer, closing?: () => void): void {
   const body = JSON.stringify(answer.body);
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -255,6 +255,9 @@
 /** Share of a part's machines silent at once above which the node suspects itself, not the machines. */
 export const SELF_SUSPECT_SHARE = 0.4;
 
+/** Fewer silent workers than that say nothing of the node. */
+export const LEAST_SILENT_WORKERS = 2;
+
 /** Share of a zone's machines silent at once above which the zone counts as cut off. */
 export const ZONE_CUT_SHARE = 0.5;
 
@@ -427,7 +430,14 @@
 /** MB at least: a process that has just begun to listen holds 48. */
 export const LEAST_RAM_MB = 64;
 
-/** Sockets at least, three fifths of them for users and workers, a quarter for calls. */
+/**
+ * Of the sockets that the platform allows, the shares for users and workers, and for calls to the store, the cloud and workers;
+ * the rest is for the other controllers.
+ */
+export const HTTP_SERVER_SOCKET_SHARE = 0.6;
+export const HTTP_CLIENT_SOCKET_SHARE = 0.25;
+
+/** Sockets at least: the shares above must leave a few for each use. */
 export const LEAST_SOCKETS = 40;
 
 /** Requests a second that each node needs of the store at least: heartbeats and watches alone take three to four. */
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -4,6 +4,7 @@
   BATCH_PUSH_GATHER_SHARE,
   GOSSIP_SOON_MS,
   GREET_PERIOD_MS,
+  HTTP_SERVER_SOCKET_SHARE,
   SWEEP_MS,
   FINISH_PERIOD_MS,
   WATCH_HEARD_PAUSE_MS,
@@ -262,7 +263,7 @@
         up: () => this.up(),
       },
       this.log,
-      Math.floor(this.settings.cluster.limits.sockets * 0.6),
+      Math.floor(this.settings.cluster.limits.sockets * HTTP_SERVER_SOCKET_SHARE),
     );
     const [host, port] = splitAddress(this.settings.bind);
     await server.listen(host, port, signal);
--- a/src/controller/rebalancer.ts
+++ b/src/controller/rebalancer.ts
@@ -1,5 +1,5 @@
 /** Gives partitions back to the nodes that prefer them, and partitions whose workers can't reach this node to others. */
-import { AVOID_MS, HANDBACK_MS, HOLD_TTL_MS, SELF_SUSPECT_SHARE } from '../constants.js';
+import { AVOID_MS, HANDBACK_MS, HOLD_TTL_MS, LEAST_SILENT_WORKERS, SELF_SUSPECT_SHARE } from '../constants.js';
 import type { Settings } from '../config/settings.js';
 import type { Peers } from '../mesh/peers.js';
 import type { Clock } from '../net/clock.js';
@@ -7,9 +7,6 @@
 import { partRole, type Claims } from './claims.js';
 import type { Owner } from './owner.js';
 
-/** Fewer silent workers than that say nothing of the node. */
-const LEAST_SILENT_WORKERS = 2;
-
 export interface RebalancerDependencies {
   settings: Settings;
   claims: Claims;
--- a/src/controller/record-broadcast.ts
+++ b/src/controller/record-broadcast.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../net/clock.js';
 import type { Change } from '../state/client.js';
 import type { Committer } from '../state/committer.js';
-import { readChanges, type Replica, type SentChange } from '../state/replica.js';
+import { encodeChange, readChanges, type Replica } from '../state/replica.js';
 import type { Log } from './log.js';
 
 export interface RecordBroadcastDependencies {
@@ -56,9 +56,3 @@
     }
   }
 }
-
-const encodeChange = ({ key, value, stamp }: Change): SentChange => ({
-  key,
-  value: value === undefined ? null : JSON.stringify(value),
-  stamp,
-});
--- a/src/main.ts
+++ b/src/main.ts
@@ -4,7 +4,7 @@
 import { startupSnapshot } from 'node:v8';
 import { Command, CommanderError } from 'commander';
 import { SettingsError, loadSettings, loadTuning } from './config/settings.js';
-import { VERSION } from './constants.js';
+import { HTTP_CLIENT_SOCKET_SHARE, VERSION } from './constants.js';
 import { Controller } from './controller/controller.js';
 import { createLog, type Log } from './controller/log.js';
 import { systemClock } from './net/clock.js';
@@ -12,9 +12,6 @@
 
 const EXIT_BAD_INPUT = 2;
 
-/** Of the sockets that the platform allows, the share that calls to the store, the cloud and workers may take. */
-const HTTP_CLIENT_SOCKET_SHARE = 0.25;
-
 interface Options {
   config: string;
   tuning?: string;
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -16,6 +16,12 @@
   stamp: number;
 }
 
+export const encodeChange = ({ key, value, stamp }: Change): SentChange => ({
+  key,
+  value: value === undefined ? null : JSON.stringify(value),
+  stamp,
+});
+
 /** All or nothing: throws where a value can't be read. */
 export const readChanges = (sent: readonly SentChange[]): Change[] =>
   sent.map(({ key, value, stamp }) => ({
@@ -111,11 +117,11 @@
     let bytes = 0;
     let last = after;
     for (const [key, { value, stamp }] of rows) {
-      const text = value === undefined ? null : JSON.stringify(value);
-      bytes += key.length + (text?.length ?? 0) + 16;
+      const change = encodeChange({ key, value, stamp });
+      bytes += key.length + (change.value?.length ?? 0) + 16;
       // All changes of a revision go together.
       if (bytes > maxBytes && changes.length > 0 && stamp > last) return { changes, last, whole: false };
-      changes.push({ key, value: text, stamp });
+      changes.push(change);
       last = stamp;
     }
     return { changes, last, whole: true };
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -21,7 +21,12 @@
 const POLL_PATIENCE_MS = 2000;
 const REQUEST_PATIENCE_MS = 5000;
 
-const noLog: Log = { error: () => undefined, warn: () => undefined, info: () => undefined, debug: () => undefined };
+export const noLog: Log = {
+  error: () => undefined,
+  warn: () => undefined,
+  info: () => undefined,
+  debug: () => undefined,
+};
 
 export interface ClusterOptions {
   nodes?: number;
--- a/test/api-server.test.ts
+++ b/test/api-server.test.ts
@@ -6,14 +6,13 @@
 import type { Handlers } from '../src/api/routes.js';
 import { ApiServer } from '../src/api/server.js';
 import { MAX_BODY_BYTES, MAX_OPEN_REQUESTS } from '../src/constants.js';
-
-const silent = { error: () => undefined, warn: () => undefined, info: () => undefined, debug: () => undefined };
+import { noLog } from '../src/testing/cluster.js';
 
 function connect(handlers: Partial<Handlers>): { open: () => Duplex; openBoth: () => [Duplex, Duplex] } {
   const unexpected = () => assert.fail('not asked for');
   const server = new ApiServer(
     { submit: unexpected, poll: unexpected, withdraw: unexpected, hello: unexpected, up: unexpected, ...handlers },
-    silent,
+    noLog,
     1000,
   );
   const openBoth = (): [Duplex, Duplex] => {
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -9,6 +9,7 @@
 import { Random } from '../src/net/random.js';
 import { Happiness } from '../src/placement/happiness.js';
 import type { Committer } from '../src/state/committer.js';
+import { noLog } from '../src/testing/cluster.js';
 import { FakeClock } from '../src/testing/fake-clock.js';
 
 describe('a node short of processor time', () => {
@@ -36,7 +37,7 @@
       new Happiness(30_000),
       clock,
       new Random(1),
-      { error: () => undefined, warn: () => undefined, info: () => undefined, debug: () => undefined },
+      noLog,
     );
     void rescheduler.run(stop.signal);
     await clock.advance(60_000);
