--- /dev/null
+++ b/test/single-execution.test.ts
@@ -0,0 +1,103 @@
+/**
+ * A task must never start on a machine while it is on another one. In these scenarios a controller loses sight of its own
+ * claim for a moment, or a proof waits in a queue while the world moves on.
+ */
+import assert from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+import { Cluster, jobOf, type ClusterOptions } from '../src/testing/cluster.js';
+
+let cluster: Cluster;
+/** Every scenario ends with the verdict of the invariant checker. */
+afterEach(() => assert.deepEqual(cluster.verdict(), []));
+
+/** Longer than a lease and the time for which a former owner may go on answering: proofs count from the claim no longer. */
+const SETTLED_MS = 45_000;
+/** Until the controllers know the machines and their types. */
+const READY_MS = 6000;
+const CLOUD_OUTAGE = { to: 'cloud:1', kind: 'status', status: 503, body: { error: 'trouble' } } as const;
+/**
+ * The stand-in runs jobs of such names until they are killed; without checkpoints they are not stopped on a notice of the
+ * cloud. The leader places what must be in one zone, so it is not the owner of the machine that finds it a new place.
+ */
+const longJob = (n: number) => ({ Ref: `j-svc-${n}`, Shards: 1, Cpus: 3, OneZone: true });
+
+const partOf = (host: string) => cluster.node(0).claims.partOf(host);
+const ownerOf = (role: string) => Number(cluster.node(0).claims.ownerOf(role)!.slice(1));
+
+/** Starts a cluster whose controllers have held their partitions for long. No machine can be returned to the cloud. */
+async function settled(machines: number, options: ClusterOptions = { nodes: 3 }): Promise<void> {
+  cluster = new Cluster(options);
+  for (let index = 0; index < machines; index++) {
+    cluster.addWorker({ host: `i-0000${String(index).padStart(2, '0')}`, site: ['a', 'b', 'c'][index % 3]! });
+  }
+  await cluster.advance(READY_MS);
+  cluster.network.fault(CLOUD_OUTAGE);
+  await cluster.advance(SETTLED_MS);
+}
+
+/** The cloud says that it will take these machines, so that nothing more is placed there. */
+async function closeToNewWork(hosts: readonly string[]): Promise<void> {
+  for (const host of hosts) cluster.workers.get(host)!.warningS = 1000;
+  await cluster.advance(1000);
+}
+
+const writesClaim = (body: unknown, verb: 'Set' | 'Drop', role: string) =>
+  ((body as { Apply?: Record<string, unknown>[] }).Apply ?? []).some((write) => write[verb] === `live/claim/${role}`);
+
+/** Long tasks run on all machines, those of one partition are closed to new work. Returns the latter and their owner. */
+async function tasksOnOnePartition(): Promise<{ role: string; hosts: string[]; owner: number }> {
+  await settled(9, { nodes: 3, teams: [{ name: 'red' }] });
+  for (let n = 0; n < 9; n++) await cluster.submit(longJob(n), n % 3);
+  const hosts = [...cluster.workers.keys()].filter((host) => partOf(host) === partOf('i-000000'));
+  const role = `part-${partOf('i-000000')}`;
+  return { role, hosts, owner: ownerOf(role) };
+}
+
+describe('a controller that does not see its own claim for a moment', () => {
+  it('frees no task whose worker reports a little later, when a raised token comes by the watch before its answer', async () => {
+    const { role, hosts, owner } = await tasksOnOnePartition();
+    const isBusy = (host: string) => cluster.workers.get(host)!.tasks.size > 0;
+    const commanded = hosts.find((host) => !isBusy(host))!;
+    const others = hosts.filter(isBusy);
+    // A start on one machine stays without an answer, and its job is cancelled: the token is raised to shut the start out.
+    cluster.mute.add(commanded);
+    cluster.network.fault({ to: `${commanded}:9000`, kind: 'hold' });
+    cluster.network.fault({
+      from: `n${owner}`,
+      to: 'store:1',
+      path: /^\/txn/,
+      where: (body) => writesClaim(body, 'Set', role),
+      kind: 'answerLost',
+      times: 1,
+    });
+    for (let n = 0; n < 9; n++) void cluster.post(jobOf({ Ref: `j-once-${n}`, Cpus: 3 }), n % 3);
+    await cluster.advance(600);
+    // The other workers of the partition do not get through for less than a lease: they and their tasks live on.
+    await closeToNewWork(others);
+    for (const host of others) cluster.mute.add(host);
+    for (let n = 0; n < 9; n++) void cluster.cancel(`j-once-${n}`, n % 3);
+    await cluster.advance(6000);
+    for (const host of others) cluster.mute.delete(host);
+    await cluster.advance(15_000);
+    assert.equal(ownerOf(role), owner, 'the partition has not changed hands');
+  });
+
+  it('frees no task whose worker reports a little later, when it keeps a partition that it could not hand over', async () => {
+    const { role, hosts, owner } = await tasksOnOnePartition();
+    await closeToNewWork(hosts);
+    const heal = cluster.network.fault({
+      from: `n${owner}`,
+      to: 'store:1',
+      path: /^\/txn/,
+      where: (body) => writesClaim(body, 'Drop', role),
+      kind: 'status',
+      status: 429,
+    });
+    void cluster.node(owner).claims.cede(role, 'for the scenario', 15_000);
+    for (const host of hosts) cluster.mute.add(host);
+    await cluster.advance(6000);
+    heal();
+    for (const host of hosts) cluster.mute.delete(host);
+    await cluster.advance(15_000);
+  });
+});
