What is known of a partition's workers begins and ends with the acquisition of its claim

Cause: what proofs rest on (last answerable report, open launches, sequence numbers) and the time from which it vouches lived apart. WorkerRegistry binds both to one object, the Acquisition; it lasts until the claim is lost, and raising a token does not end it. A worker forgotten after ten leases of silence leaves the bound of its last sign of life behind. A place is freed by the proof that holds when the decision is taken, not by one from before it waited for the store.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -42,6 +42,9 @@
 /** ms between two raises of one part's fence: each makes every worker of the part report. */
 export const RAISE_PAUSE_MS = 5000;
 
+/** Leases for which a worker without tasks is remembered after its last sign of life: its session is over long before. */
+export const FORGET_WORKER_LEASES = 10;
+
 /** ms between two looks for leases that are proved over. */
 export const SWEEP_MS = 500;
 
--- a/src/controller/claims.ts
+++ b/src/controller/claims.ts
@@ -42,13 +42,22 @@
 export const holdOverMs = (workers: Settings['cluster']['workers']): number =>
   Math.max(0, (workers.cancel_s - workers.lease_s) * 1000 * (1 - CLOCK_DRIFT) - HOLDOVER_MARGIN_MS);
 
+/**
+ * One stay of a role with this process, from the claim by which it came to its loss; raising the token does not end it. What
+ * is known of the partition's workers is bound to this object (see worker-registry.ts).
+ */
+export interface Acquisition {
+  /** The Stamp of the claim by which the role came: what former owners did is older. */
+  readonly stamp: number;
+  /** Steady ms when the role came. */
+  readonly at: number;
+}
+
+/** A claim of this process, as of now. */
 export interface Held {
   /** The claim's Stamp, the fencing token. */
-  fence: number;
-  /** The Stamp of the claim by which the part came (not moved by raising the fence): what former owners did is older. */
-  first: number;
-  /** Steady ms when this node came to own the part (not moved by raising the fence). */
-  since: number;
+  readonly fence: number;
+  readonly acquisition: Acquisition;
 }
 
 /** Holds and claims: which parts this node owns, and whether it may act on them right now. */
@@ -108,6 +117,17 @@
     return claim.record.latch === this.latch && claim.stamp === held.fence ? held : undefined;
   }
 
+  /**
+   * The acquisition of a role that this process has not seen lost. Unlike `holding`, it goes on while a raised token is known
+   * from the watch before the answer to the raise has come, and while a handover waits: in such spells nobody may answer or
+   * decide, but what is known of the workers stays known.
+   */
+  acquisition(role: string): Acquisition | undefined {
+    const claim = this.book.claims.get(role);
+    if (claim === undefined || claim.record.latch !== this.latch) return undefined;
+    return this.held.get(role)?.acquisition;
+  }
+
   /** In touch with the store: decisions and new starts are allowed. */
   get inTouch(): boolean {
     return this.clock.now() - this.replica.freshAt < FRESH_MS;
@@ -195,8 +215,8 @@
     );
     this.taking.delete(role);
     if (outcome.kind === 'done') {
-      const { first, since } = before ?? { first: outcome.epoch, since: this.clock.now() };
-      this.held.set(role, { fence: outcome.epoch, first, since });
+      const acquisition = before?.acquisition ?? { stamp: outcome.epoch, at: this.clock.now() };
+      this.held.set(role, { fence: outcome.epoch, acquisition });
       this.log.info({ role, fence: outcome.epoch }, before === undefined ? 'role claimed' : 'fence raised');
       // Nothing is launched before the copy is complete up to the first claim.
       if (before === undefined) void this.replica.refresh();
--- a/src/controller/fleet.ts
+++ b/src/controller/fleet.ts
@@ -96,7 +96,7 @@
     for (const machine of this.told.values()) {
       const held = this.heldFor(machine.host);
       if (held === undefined || this.owner.workers.has(machine.host)) continue;
-      list.push({ ...machine, heardAt: Math.max(machine.heardAt, held.since), owner: this.settings.node });
+      list.push({ ...machine, heardAt: Math.max(machine.heardAt, held.acquisition.at), owner: this.settings.node });
     }
     return list;
   }
@@ -223,7 +223,7 @@
     if (this.gone.size > GONE_KEPT) this.gone.delete(this.gone.keys().next().value!);
     this.told.delete(host);
     this.knownAt.delete(host);
-    this.owner.workers.delete(host);
+    this.owner.workers.remove(host);
   }
 
   /** What other nodes should forget as well. */
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -1,4 +1,5 @@
 import {
+  FORGET_WORKER_LEASES,
   FRESH_MS,
   GREET_AGAIN_MS,
   KNOCK_MS,
@@ -10,19 +11,18 @@
   SILENT_REPORTS,
   SWEEP_MS,
 } from '../constants.js';
-import type { Settings, Team } from '../config/settings.js';
+import type { Settings } from '../config/settings.js';
 import type { Book, Place } from '../ledger/book.js';
-import { freeShard } from '../ledger/edits.js';
 import { parseShard } from '../ledger/records.js';
 import type { Proof } from '../ledger/rules.js';
 import type { Clock } from '../net/clock.js';
 import type { HttpClient } from '../net/http-client.js';
-import { exitPriority } from '../placement/queue.js';
 import type { Committer } from '../state/committer.js';
 import type { Replica } from '../state/replica.js';
 import { sendCommands } from '../workers/commands.js';
 import {
   attemptOf,
+  findProof,
   keyOf,
   nameOfPlace,
   reconcile,
@@ -34,8 +34,10 @@
 import { encodeOrder, type Report } from '../workers/report.js';
 import { leaseOverAt, reportLateMs, Worker } from '../workers/worker.js';
 import { holdOverMs, partRole, type Claims, type Held } from './claims.js';
+import { ExitRecorder, type ExitListener } from './exit-recorder.js';
 import type { Log } from './log.js';
 import { Stragglers } from './stragglers.js';
+import { WorkerRegistry } from './worker-registry.js';
 
 export type HelloAnswer =
   | { status: 200; body: { Fence: number; Orders: unknown[] } }
@@ -43,7 +45,7 @@
   | { status: 503; body: { error: string } };
 
 /** What an owner asks of its surroundings, and where it tells of checks. */
-export interface OwnerSurroundings {
+export interface OwnerSurroundings extends ExitListener {
   /** A report was heard: one check of each service task on the machine. */
   checked(report: Report): void;
   /** Has the cloud confirmed that the machine is gone? */
@@ -54,45 +56,49 @@
   knownImages(host: string): readonly string[];
   /** GB of images that a machine of the type keeps. */
   cacheGb(flavor: string): number;
-  /** A task has run to its end. */
-  completed(place: Place, ranS: number): void;
-  /** A task died unfinished: an unhealthy check. */
-  died(place: Place): void;
 }
 
+/** The session's lease is over, as this node knows by itself. */
+const leaseProof = (place: Place): Proof => ({ kind: 'lease', tenure: place.slot.tenure });
+
 /** What an owner does for the workers of its parts: answers reports, sends commands, records exits, proves leases over. */
 export class Owner {
-  readonly workers = new Map<string, Worker>();
+  readonly workers: WorkerRegistry;
   /** Workers that came here though another node owns them: evidence that they live and can't reach their owner. */
   readonly knocks = new Map<string, number>();
   private readonly strandedSince = new Map<string, number>();
-  private readonly teams: Map<string, Team>;
+  private readonly exits: ExitRecorder;
   private readonly stragglers: Stragglers;
   /** Steady ms of the next push to each machine. */
   private readonly pushes = new Map<string, number>();
   private greeting = 0;
   private readonly greetedAt = new Map<string, number>();
   private readonly raisedAt = new Map<string, number>();
-  /** Attempts whose end is handed to the ledger and not yet recorded, also on machines that this node has never heard. */
-  private readonly recording = new Set<string>();
 
   constructor(
     private readonly settings: Settings,
     private readonly claims: Claims,
     private readonly replica: Replica,
     private readonly book: Book,
-    private readonly committer: Committer,
+    committer: Committer,
     private readonly http: HttpClient,
     private readonly clock: Clock,
     private readonly events: OwnerSurroundings,
     private readonly log: Log,
   ) {
-    this.teams = new Map(settings.cluster.teams.map((team) => [team.name, team]));
+    this.workers = new WorkerRegistry(claims, settings.cluster.workers);
     this.stragglers = new Stragglers(claims, book, committer, clock, log);
-  }
-
-  private teamOf(ref: string): Team | undefined {
-    return this.teams.get(this.book.jobs.get(ref)?.record.spec.Owner ?? '');
+    this.exits = new ExitRecorder({
+      settings,
+      claims,
+      book,
+      committer,
+      workers: this.workers,
+      stragglers: this.stragglers,
+      events,
+      clock,
+      log,
+    });
   }
 
   roleOf(host: string): string {
@@ -117,7 +123,7 @@
     if (worker === undefined) {
       worker = new Worker(report.host);
       for (const bundle of this.events.knownImages(report.host)) worker.images.set(bundle, 0);
-      this.workers.set(report.host, worker);
+      this.workers.add(worker);
       this.log.debug({ machine: report.host, role, tenure: report.tenure, flavor: report.flavor }, 'worker heard');
     }
     // A late copy was sent before the newest report that is known: its answer makes no lease any longer.
@@ -199,20 +205,21 @@
 
   private rights(held: Held, inAnswer: boolean): Rights {
     // What the former owner freed, and its worker has forgotten, starts again unless it is known here.
-    const mayJudge = this.replica.epoch >= held.first;
+    const mayJudge = this.replica.epoch >= held.acquisition.stamp;
     return { fence: held.fence, mayLaunch: mayJudge && this.claims.inTouch, mayJudge, inAnswer };
   }
 
   private desiredOn(host: string): Map<string, Desired> {
     const desired = new Map<string, Desired>();
-    for (const place of this.book.placesOn(host)) {
-      const record = this.book.jobs.get(place.ref)?.record;
-      const inGang = record?.spec.Shape === 'ensemble';
-      desired.set(nameOfPlace(place), { place, withdrawn: record?.phase === 'withdrawn', inGang });
-    }
+    for (const place of this.book.placesOn(host)) desired.set(nameOfPlace(place), this.desiredAt(place));
     return desired;
   }
 
+  private desiredAt(place: Place): Desired {
+    const record = this.book.jobs.get(place.ref)?.record;
+    return { place, withdrawn: record?.phase === 'withdrawn', inGang: record?.spec.Shape === 'ensemble' };
+  }
+
   private noteImages(worker: Worker): void {
     for (const [name, task] of worker.tasks) {
       if (task.phase === 'fetching') continue;
@@ -225,7 +232,8 @@
   }
 
   private carryOut(worker: Worker, role: string, plan: Plan): void {
-    for (const free of plan.frees) this.record(worker, role, free);
+    for (const free of plan.frees)
+      this.exits.record(worker.host, role, free, () => this.proofNow(worker.host, role, free.place));
     if (plan.needsRaise) this.raise(role);
   }
 
@@ -237,52 +245,6 @@
     void this.claims.raise(role);
   }
 
-  private record(worker: Worker, role: string, free: Free): void {
-    const { place, proof, ending, task } = free;
-    const key = attemptOf(place);
-    if (this.recording.has(key)) return;
-    this.recording.add(key);
-    const now = this.clock.now();
-    const since = this.claims.holding(role)?.since;
-    const began = worker.runningSince.get(key);
-    const seconds = (ms: number | undefined) => (ms === undefined ? undefined : Math.round(ms / 100) / 10);
-    this.log.debug(
-      {
-        machine: worker.host,
-        shard: nameOfPlace(place),
-        attempt: place.slot.attempt,
-        proof: proof.kind,
-        cause: task?.cause,
-        fetchedS: seconds(began === undefined ? undefined : began - (worker.firstSeen.get(key) ?? began)),
-        ranS: seconds(began === undefined ? undefined : now - began),
-      },
-      'task over',
-    );
-    if (task !== undefined && (ending === 'done' || ending === 'failed')) worker.noteExit(place.ref, ending, now);
-    if (task?.cause === 'no_room' || task?.cause === 'in_use') {
-      worker.coolUntil = now + this.settings.cluster.workers.report_s * 1000;
-    }
-    if (ending === 'done' && began !== undefined) {
-      this.events.completed(place, (now - began) / 1000);
-      this.stragglers.compare(worker, place, now - began);
-    }
-    const stopped = place.slot.stop !== null || this.book.jobs.get(place.ref)?.record.phase !== 'active';
-    if (ending !== 'done' && !stopped) this.events.died(place);
-    void this.committer
-      .commit(
-        'free',
-        exitPriority(this.book.jobs.get(place.ref)?.record.spec),
-        (draft) => {
-          // What another owner has placed here in between, this proof does not speak of.
-          if (!this.claims.require(draft, role) || this.claims.holding(role)?.since !== since) return false;
-          return freeShard(draft, this.teams, place.ref, place.shard, worker.host, proof, ending);
-        },
-        undefined,
-        this.book.companyOf(place.ref, place.shard, this.teamOf(place.ref)),
-      )
-      .finally(() => this.recording.delete(key));
-  }
-
   /** The ledger of a machine has changed: tell its worker soon, without waiting for its next report. */
   push(host: string, gatherMs = PUSH_GATHER_MS): void {
     const due = this.clock.now() + gatherMs;
@@ -328,7 +290,7 @@
     this.log.debug({ machine: host, orders: orders.map((o) => `${o.verb} ${keyOf(o)}`) }, 'commands');
     const result = await sendCommands(this.http, worker.endpoint, held.fence, worker.tenure, orders);
     worker.pushing = false;
-    // The part was lost and is back: what has been sent since is known to the new entry only, so this one judges nothing.
+    // The partition was lost and is back: what has been sent since is known of the new worker only, so this one judges nothing.
     if (this.workers.get(host) !== worker) return;
     if (result.kind === 'unknown') {
       this.log.info({ machine: host, launches }, 'commands without an answer');
@@ -349,21 +311,6 @@
     }
   }
 
-  /** Steady ms from which on nobody else can have answered a worker that has not shown this node's fence yet. */
-  private othersAnsweredUntil(held: Held): number {
-    // Its copy can have been complete until its hold ended, even if only its renewals were lost; and what it was told by
-    // this node since then would have shown it the new claim.
-    return held.since + Math.max(FRESH_MS, holdOverMs(this.settings.cluster.workers));
-  }
-
-  leaseOver(host: string, held: Held): number {
-    const worker = this.workers.get(host);
-    const known = Math.max(worker?.answeredAt ?? -Infinity, worker?.heardAt ?? -Infinity);
-    const seen = worker !== undefined && worker.fence >= held.fence;
-    const last = seen ? known : Math.max(known, this.othersAnsweredUntil(held));
-    return leaseOverAt(last, this.settings.cluster.workers.lease_s);
-  }
-
   private sweep(): void {
     const now = this.clock.now();
     for (const [host, at] of this.knocks) {
@@ -375,23 +322,36 @@
     for (const host of [...this.book.hostsInUse()]) {
       const role = this.roleOf(host);
       const held = this.claims.holding(role);
-      if (held === undefined || !this.claims.inTouch || now <= this.leaseOver(host, held)) continue;
-      const worker = this.workers.get(host) ?? new Worker(host);
+      if (held === undefined || !this.isLeaseOver(host, held)) continue;
       for (const place of [...this.book.placesOn(host)]) {
-        const proof: Proof = { kind: 'lease', tenure: place.slot.tenure };
-        this.record(worker, role, { place, proof, ending: 'lost', task: undefined });
+        const free: Free = { place, proof: leaseProof(place), ending: 'lost', task: undefined };
+        this.exits.record(host, role, free, () => this.proofNow(host, role, place));
       }
     }
     this.stragglers.relieve(this.workers.values(), (host) => this.roleOf(host));
-    for (const [host, worker] of this.workers) {
-      const gone = this.claims.holding(this.roleOf(host)) === undefined;
-      const old = now - worker.heardAt > 10 * this.settings.cluster.workers.lease_s * 1000;
-      if ((gone || old) && this.book.countOn(host) === 0) this.workers.delete(host);
-      // What another owner has done in the meantime is not known here.
-      else if (gone) this.workers.delete(host);
+    const silentMs = FORGET_WORKER_LEASES * this.settings.cluster.workers.lease_s * 1000;
+    for (const { host, heardAt } of [...this.workers.values()]) {
+      if (now - heardAt > silentMs && this.book.countOn(host) === 0) this.workers.forget(host);
     }
   }
 
+  private isLeaseOver(host: string, held: Held): boolean {
+    return this.claims.inTouch && this.clock.now() > this.workers.leaseOverAt(host, held);
+  }
+
+  /**
+   * The proof that a place is free, by what is known at this very moment. A decision waits for its turn at the store, and what
+   * proved it may not hold any more by then.
+   */
+  private proofNow(host: string, role: string, place: Place): Proof | undefined {
+    const held = this.claims.holding(role);
+    if (held === undefined) return undefined;
+    const worker = this.workers.get(host);
+    const shown = worker === undefined ? undefined : findProof(worker, this.desiredAt(place), held.fence);
+    if (shown !== undefined) return shown.proof;
+    return this.isLeaseOver(host, held) ? leaseProof(place) : undefined;
+  }
+
   /** Pushes the fence to workers that have not been heard since the takeover, so that old commands are refused. */
   async greet(host: string, endpoint: string, tenure: number): Promise<void> {
     const held = this.claims.holding(this.roleOf(host));
@@ -404,11 +364,11 @@
     this.greeting++;
     const result = await sendCommands(this.http, endpoint, held.fence, tenure, []);
     this.greeting--;
-    if (!('report' in result) || result.report?.host !== host || this.claims.holding(this.roleOf(host)) !== held)
-      return;
+    const isSame = this.claims.holding(this.roleOf(host))?.acquisition === held.acquisition;
+    if (!isSame || !('report' in result) || result.report?.host !== host) return;
     const worker = this.workers.get(host) ?? new Worker(host);
     if (!worker.take(result.report, this.clock.now(), false)) return;
-    this.workers.set(host, worker);
+    this.workers.add(worker);
     this.push(host);
   }
 
--- a/src/controller/rebalancer.ts
+++ b/src/controller/rebalancer.ts
@@ -38,10 +38,10 @@
 
   /** Many of the partition's workers are silent here, and most of these have been seen at other nodes since. */
   private isOutOfReach(part: number): boolean {
-    const { settings, claims, owner, peers, clock } = this.dependencies;
+    const { settings, owner, peers, clock } = this.dependencies;
     const now = clock.now();
     const limit = silenceLimitMs(settings.cluster.workers);
-    const workers = [...owner.workers.values()].filter((worker) => claims.partOf(worker.host) === part);
+    const workers = [...owner.workers.ofPartition(part)];
     const silent = workers.filter((worker) => now - worker.reportedAt > limit);
     if (silent.length < LEAST_SILENT_WORKERS || silent.length <= workers.length * SELF_SUSPECT_SHARE) return false;
     const seenElsewhere = silent.filter((worker) => peers.knocked(worker.host, worker.reportedAt));
--- /dev/null
+++ b/src/controller/worker-registry.ts
@@ -0,0 +1,104 @@
+/**
+ * What this process knows of the workers of its partitions, and how far back that knowledge reaches. Both begin together, with
+ * the acquisition of a partition's claim, and end together: that nothing is known of a worker proves nothing, unless it is
+ * also known since when every answer to it would have been noted here.
+ */
+import { FRESH_MS } from '../constants.js';
+import type { Settings } from '../config/settings.js';
+import { leaseOverAt, Worker } from '../workers/worker.js';
+import { holdOverMs, partRole, type Acquisition, type Claims, type Held } from './claims.js';
+
+/** The workers of one partition, for as long as one acquisition of its claim lasts. */
+interface PartitionKnowledge {
+  readonly workers: Map<string, Worker>;
+  /** Steady ms of the last sign of life of any worker that has been forgotten since the acquisition. */
+  forgottenHeardAt: number;
+}
+
+/** The workers of all partitions that this process owns, by host. */
+export class WorkerRegistry {
+  /** Ends with the acquisition itself: no other lifetime could get out of step with the time that proofs count from. */
+  private readonly byAcquisition = new WeakMap<Acquisition, PartitionKnowledge>();
+
+  constructor(
+    private readonly claims: Claims,
+    private readonly settings: Settings['cluster']['workers'],
+  ) {}
+
+  get(host: string): Worker | undefined {
+    return this.knowledgeFor(host)?.workers.get(host);
+  }
+
+  has(host: string): boolean {
+    return this.get(host) !== undefined;
+  }
+
+  /** All workers heard, of one partition after the other. */
+  *values(): Generator<Worker> {
+    for (let partition = 0; partition < this.claims.parts; partition++) yield* this.ofPartition(partition);
+  }
+
+  ofPartition(partition: number): Iterable<Worker> {
+    return this.knowledgeOf(this.claims.acquisition(partRole(partition)))?.workers.values() ?? [];
+  }
+
+  get size(): number {
+    let size = 0;
+    for (let partition = 0; partition < this.claims.parts; partition++) {
+      size += this.knowledgeOf(this.claims.acquisition(partRole(partition)))?.workers.size ?? 0;
+    }
+    return size;
+  }
+
+  /** Takes in a worker that is heard for the first time. Its partition must be owned. */
+  add(worker: Worker): void {
+    this.knowledgeFor(worker.host)?.workers.set(worker.host, worker);
+  }
+
+  /** The machine is gone for good, and nothing on it needs a proof any more. */
+  remove(host: string): void {
+    this.knowledgeFor(host)?.workers.delete(host);
+  }
+
+  /** Forgets a worker that has been silent for long; its last sign of life still bounds the leases of the unknown ones. */
+  forget(host: string): void {
+    const knowledge = this.knowledgeFor(host);
+    const worker = knowledge?.workers.get(host);
+    if (knowledge === undefined || worker === undefined) return;
+    knowledge.workers.delete(host);
+    knowledge.forgottenHeardAt = Math.max(knowledge.forgottenHeardAt, lastAnswerable(worker));
+  }
+
+  /** Steady ms after which the lease of a machine's session is certainly over, if nobody answers it again. */
+  leaseOverAt(host: string, held: Held): number {
+    const knowledge = this.knowledgeOf(held.acquisition);
+    const worker = knowledge?.workers.get(host);
+    const known = worker === undefined ? (knowledge?.forgottenHeardAt ?? -Infinity) : lastAnswerable(worker);
+    // A worker that has shown this token drops what former owners answer.
+    const hasSeenToken = worker !== undefined && worker.fence >= held.fence;
+    const last = hasSeenToken ? known : Math.max(known, this.othersAnsweredUntil(held.acquisition));
+    return leaseOverAt(last, this.settings.lease_s);
+  }
+
+  /** Steady ms from which on nobody else can have answered a worker that has not shown this node's token yet. */
+  private othersAnsweredUntil(acquisition: Acquisition): number {
+    // A former owner's copy can have been complete until its hold ended, even if only its renewals were lost; and what it was
+    // told by this node since then would have shown it the new claim.
+    return acquisition.at + Math.max(FRESH_MS, holdOverMs(this.settings));
+  }
+
+  private knowledgeFor(host: string): PartitionKnowledge | undefined {
+    return this.knowledgeOf(this.claims.acquisition(partRole(this.claims.partOf(host))));
+  }
+
+  private knowledgeOf(acquisition: Acquisition | undefined): PartitionKnowledge | undefined {
+    if (acquisition === undefined) return undefined;
+    const known = this.byAcquisition.get(acquisition);
+    if (known !== undefined) return known;
+    const knowledge = { workers: new Map<string, Worker>(), forgottenHeardAt: -Infinity };
+    this.byAcquisition.set(acquisition, knowledge);
+    return knowledge;
+  }
+}
+
+const lastAnswerable = (worker: Worker): number => Math.max(worker.answeredAt, worker.heardAt);
--- a/src/workers/reconcile.ts
+++ b/src/workers/reconcile.ts
@@ -42,70 +42,91 @@
   return task.cause === 'error' || task.cause === 'unknown' ? 'failed' : 'lost';
 };
 
+/**
+ * The proof, as far as the worker's own reports give one, that a place is free. It holds only as long as these reports are the
+ * newest: a gang's attempt may be placed on the same machine once more, and then an earlier exit says nothing of it.
+ */
+export function findProof(worker: Worker, { place, withdrawn, inGang }: Desired, fence: number): Free | undefined {
+  const { slot } = place;
+  if (slot.tenure < worker.tenure) {
+    return { place, proof: { kind: 'tenure', tenure: worker.tenure }, ending: 'lost', task: undefined };
+  }
+  if (slot.tenure > worker.tenure) return undefined;
+  const proof: Proof = { kind: 'exited', attempt: slot.attempt, tenure: slot.tenure };
+  const task = worker.tasks.get(nameOfPlace(place));
+  if (task?.attempt === slot.attempt) {
+    // A report from before the claim may tell of a member's first end, when it has been placed here once more since.
+    const isOld = inGang && worker.fence < fence;
+    return task.phase !== 'exited' || isOld ? undefined : { place, proof, ending: endingOf(task), task };
+  }
+  const isUnwanted = withdrawn || slot.stop !== null;
+  if (!isUnwanted || !worker.isAbsenceFinal(attemptOf(place), fence)) return undefined;
+  return { place, proof, ending: 'lost', task: undefined };
+}
+
 /** Compares what the ledger wants on a machine with what its worker reports. Pure, and level-triggered. */
 export function reconcile(worker: Worker, desired: Map<string, Desired>, rights: Rights): Plan {
   const plan: Plan = { orders: [], frees: [], needsRaise: false };
-  const launches: Order[] = [];
-  const matches = (name: string, task: ReportedTask): Desired | undefined => {
-    const want = desired.get(name);
-    return want !== undefined && want.place.slot.attempt === task.attempt && want.place.slot.tenure === worker.tenure
-      ? want
-      : undefined;
-  };
   for (const [name, task] of worker.tasks) {
-    const want = matches(name, task);
-    if (task.phase === 'exited') {
-      // A report from before the claim may tell of a member's first end, when it has been placed here once more since.
-      if (want?.inGang === true && worker.fence < rights.fence) continue;
-      if (want !== undefined) {
-        const proof: Proof = { kind: 'exited', attempt: task.attempt, tenure: worker.tenure };
-        plan.frees.push({ place: want.place, proof, ending: endingOf(task), task });
-      } else if (rights.inAnswer && rights.mayJudge) {
-        // Late copies of a launch restart a forgotten task: first it must be certain that none is left.
-        if (worker.openCommands.has(`${name}#${task.attempt}`)) plan.needsRaise = true;
-        else plan.orders.push({ verb: 'forget', shard: name, attempt: task.attempt });
-      }
-      continue;
-    }
-    if (want === undefined) {
-      if (rights.mayJudge) plan.orders.push({ verb: 'kill', shard: name, attempt: task.attempt, grace: 0 });
-      continue;
-    }
-    const grace = want.withdrawn ? 0 : want.place.slot.stop;
-    if (grace !== null && (task.phase !== 'flushing' || grace === 0)) {
-      plan.orders.push({ verb: 'kill', shard: name, attempt: task.attempt, grace });
-    }
+    const want = desired.get(name);
+    const slot = want?.place.slot;
+    const isWanted = want !== undefined && slot?.attempt === task.attempt && slot.tenure === worker.tenure;
+    if (isWanted) stopIfUnwanted(plan, name, task, want);
+    else removeStray(plan, worker, name, task, rights);
   }
+  const launches: Order[] = [];
   for (const [name, want] of desired) {
-    const { slot } = want.place;
-    const task = worker.tasks.get(name);
-    if (slot.tenure < worker.tenure) {
-      plan.frees.push({
-        place: want.place,
-        proof: { kind: 'tenure', tenure: worker.tenure },
-        ending: 'lost',
-        task: undefined,
-      });
-      continue;
-    }
-    if (slot.tenure > worker.tenure || (task !== undefined && task.attempt === slot.attempt)) continue;
-    const key = `${name}#${slot.attempt}`;
-    if (!want.withdrawn && slot.stop === null) {
-      // Another attempt still there refuses this one (`in_use`): it is killed or forgotten first, above.
-      if (rights.mayLaunch && (task === undefined || task.phase === 'exited')) {
-        launches.push({ verb: 'launch', shard: name, attempt: slot.attempt });
-      }
-    } else if (worker.isAbsenceFinal(key, rights.fence)) {
-      const proof: Proof = { kind: 'exited', attempt: slot.attempt, tenure: slot.tenure };
-      plan.frees.push({ place: want.place, proof, ending: 'lost', task: undefined });
-    } else if (worker.openCommands.has(key)) {
-      plan.needsRaise = true;
-    }
+    const free = findProof(worker, want, rights.fence);
+    if (free !== undefined) plan.frees.push(free);
+    else if (isMissing(worker, name, want)) launchOrExclude(plan, launches, worker, name, want, rights);
   }
   plan.orders.push(...launches);
   return plan;
 }
 
+/** A place of the worker's present session, of which its last report shows nothing. */
+function isMissing(worker: Worker, name: string, { place: { slot } }: Desired): boolean {
+  return slot.tenure === worker.tenure && worker.tasks.get(name)?.attempt !== slot.attempt;
+}
+
+function stopIfUnwanted(plan: Plan, name: string, task: ReportedTask, { place, withdrawn }: Desired): void {
+  const grace = withdrawn ? 0 : place.slot.stop;
+  if (task.phase === 'exited' || grace === null || (task.phase === 'flushing' && grace > 0)) return;
+  plan.orders.push({ verb: 'kill', shard: name, attempt: task.attempt, grace });
+}
+
+/** The ledger gives the task no place here: it is killed, and its exit forgotten. */
+function removeStray(plan: Plan, worker: Worker, name: string, task: ReportedTask, rights: Rights): void {
+  if (!rights.mayJudge) return;
+  if (task.phase !== 'exited') {
+    plan.orders.push({ verb: 'kill', shard: name, attempt: task.attempt, grace: 0 });
+    return;
+  }
+  if (!rights.inAnswer) return;
+  // Late copies of a launch restart a forgotten task: first it must be certain that none is left.
+  if (worker.openCommands.has(`${name}#${task.attempt}`)) plan.needsRaise = true;
+  else plan.orders.push({ verb: 'forget', shard: name, attempt: task.attempt });
+}
+
+function launchOrExclude(
+  plan: Plan,
+  launches: Order[],
+  worker: Worker,
+  name: string,
+  { place, withdrawn }: Desired,
+  rights: Rights,
+): void {
+  const { slot } = place;
+  if (withdrawn || slot.stop !== null) {
+    if (worker.openCommands.has(attemptOf(place))) plan.needsRaise = true;
+    return;
+  }
+  // Another attempt still there refuses this one (`in_use`): it is killed or forgotten first.
+  const present = worker.tasks.get(name);
+  const isClear = present === undefined || present.phase === 'exited';
+  if (rights.mayLaunch && isClear) launches.push({ verb: 'launch', shard: name, attempt: slot.attempt });
+}
+
 export const keyOf = (order: Order): string => `${order.shard}#${order.attempt}`;
 /** One start of a shard, as orders and workers name it. */
 export const attemptOf = (place: Place): string => `${nameOfPlace(place)}#${place.slot.attempt}`;
