Test: a worker is given the launch of another one's task by a controller that is just back (fails)

A relayed report is answered by a number, and a process numbers from 1: the answer that its former life asked for, held back by a cut, answers another worker's report in the next life. ran_twice by the invariant checker.

--- a/test/single-execution.test.ts
+++ b/test/single-execution.test.ts
@@ -24,6 +24,17 @@
 const partOf = (host: string) => cluster.node(0).claims.partOf(host);
 const ownerOf = (role: string) => Number(cluster.node(0).claims.ownerOf(role)!.slice(1));
 
+const reportsTo = (address: string, host: string) =>
+  cluster.network.log.filter(({ from, to }) => from === host && to === address).length;
+
+/** Lets time pass, a little at a time, until something has come about. */
+async function until(condition: () => boolean, ms = 10_000): Promise<void> {
+  for (let waited = 0; !condition(); waited += 5) {
+    assert.ok(waited < ms, 'it does not come about');
+    await cluster.advance(5);
+  }
+}
+
 /** Starts a cluster whose controllers have held their partitions for long. No machine can be returned to the cloud. */
 async function settled(machines: number, options: ClusterOptions = { nodes: 3 }): Promise<void> {
   cluster = new Cluster(options);
@@ -101,3 +112,38 @@
     await cluster.advance(15_000);
   });
 });
+
+describe('a controller that passes reports on and is back within a second', () => {
+  it('gives no worker the answer that its former life asked for another one', async () => {
+    cluster = new Cluster({ nodes: 2 });
+    const hosts = Array.from({ length: 12 }, (_, index) => `i-0000${String(index).padStart(2, '0')}`)
+      .filter((host) => partOf(host) === 0)
+      .slice(0, 2);
+    const [first, second] = hosts as [string, string];
+    for (const host of hosts) cluster.addWorker({ host });
+    await cluster.advance(READY_MS);
+    assert.equal(ownerOf('part-0'), 0);
+    // Neither of the two reaches its owner, nor the owner them; one of them has been given a task.
+    for (const host of hosts) {
+      cluster.network.fault({ from: host, to: 'n0:8080', kind: 'refuse' });
+      cluster.network.fault({ from: 'n0', to: `${host}:9000`, kind: 'refuse' });
+    }
+    await closeToNewWork([second]);
+    const release = cluster.network.cut({ from: 'n1', to: 'n0' });
+    void cluster.post(jobOf({ Ref: 'j-svc-0' }), 0);
+    await cluster.advance(1500);
+    const blocked = cluster.network.fault({ from: first, to: 'n1:8080', kind: 'refuse' });
+    cluster.crash(1);
+    cluster.start(1);
+    const before = reportsTo('n1:8080', second);
+    await until(() => reportsTo('n1:8080', second) > before);
+    await cluster.advance(5);
+    release();
+    await cluster.advance(5);
+    // Whatever it was told, nobody tells it otherwise for a while.
+    cluster.mute.add(second);
+    blocked();
+    await cluster.advance(6000);
+    assert.equal(cluster.runs('j-svc-0/0').at(-1)!.host, first);
+  });
+});
