Relayed reports are numbered anew in each life of a controller

Cause: numbers from 1 in each process, and an answer names nothing else. The first number is now the life's random one, so that no answer to a former life is taken; the messages keep their form.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -141,7 +141,7 @@
       this.random,
       log,
     );
-    this.relays = new Relays(settings.node, clock, (node, message) => this.send(node, message));
+    this.relays = new Relays(settings.node, life, clock, (node, message) => this.send(node, message));
     this.happiness = new Happiness(tuning.window_s * 1000);
     this.owner = new Owner(
       settings,
--- a/src/mesh/relays.ts
+++ b/src/mesh/relays.ts
@@ -7,18 +7,22 @@
  * node reaches both: the owner's own answer, with its fence, keeps their leases alive.
  */
 export class Relays {
-  private next = 1;
   private readonly open = new Map<number, (answer: RelayAnswer | undefined) => void>();
 
   constructor(
     private readonly node: string,
+    /**
+     * The number of the first request. Another one in each life of the node: the answer to a former life's request, held back
+     * by a cut, would else answer another worker's report, and have it launch what runs elsewhere.
+     */
+    private nextId: number,
     private readonly clock: Clock,
     private readonly send: (node: string, message: Message) => boolean,
   ) {}
 
   /** The owner's answer, or undefined when it can't be had in time. */
   async ask(owner: string, report: unknown): Promise<RelayAnswer | undefined> {
-    const id = this.next++;
+    const id = this.nextId++;
     const relay: Relay = { node: this.node, id, report: JSON.stringify(report) };
     const done = new AbortController();
     const answered = new Promise<RelayAnswer | undefined>((resolve) => this.open.set(id, resolve));
