--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -143,15 +143,15 @@
     );
     this.relays = new Relays(settings.node, life, clock, (node, message) => this.send(node, message));
     this.happiness = new Happiness(tuning.window_s * 1000);
-    this.owner = new Owner(
+    this.owner = new Owner({
       settings,
-      this.claims,
-      this.replica,
-      this.book,
-      this.committer,
+      claims: this.claims,
+      replica: this.replica,
+      book: this.book,
+      committer: this.committer,
       http,
       clock,
-      {
+      events: {
         isGone: (host) => this.fleet.gone.has(host),
         isLate: (report) => this.fleet.isLate(report),
         knownImages: (host) => this.fleet.known(host)?.images ?? [],
@@ -164,7 +164,7 @@
         died: (place) => this.noteCheck(place.ref, place.shard, false),
       },
       log,
-    );
+    });
     this.fleet = new Fleet(settings, this.claims, this.owner, clock);
     this.planner = new Planner(
       settings,
--- a/src/controller/gossip-exchange.ts
+++ b/src/controller/gossip-exchange.ts
@@ -60,7 +60,7 @@
       ...sentUpdates.compose(to, this.ownMachines(now), this.othersMachines(now, to), now),
       wants: this.missed.has(to),
       knocks: [
-        ...[...owner.knocks].map(([host, at]) => ({ host, ageMs: now - at })),
+        ...[...owner.misdirected.entries()].map(([host, at]) => ({ host, ageMs: now - at })),
         // After a restart hundreds knock: what the peer hears itself is not passed on to it.
         ...(this.unheardBy(to).size > 0 ? peers.knocksHeard() : []),
       ],
--- /dev/null
+++ b/src/controller/misdirected-workers.ts
@@ -0,0 +1,52 @@
+/**
+ * Workers that report to this node although another one owns them: evidence for the others that they live, and a sign that they
+ * can't reach their owner.
+ */
+import { KNOCK_MS, SEND_HOME_MS } from '../constants.js';
+import type { Report } from '../workers/report.js';
+
+export class MisdirectedWorkers {
+  /** Steady ms of the last report of each. */
+  private readonly reportedAt = new Map<string, number>();
+  /** Steady ms since when each is taken for cut off from its owner. */
+  private readonly strandedSince = new Map<string, number>();
+
+  has(host: string): boolean {
+    return this.reportedAt.has(host);
+  }
+
+  /** Each of them, with the steady ms of its last report. */
+  entries(): IterableIterator<[string, number]> {
+    return this.reportedAt.entries();
+  }
+
+  /** Takes a report in. True: its worker can't get to its owner, so that the report is better passed on. */
+  note(report: Report, ownersToken: number | undefined, now: number): boolean {
+    const isStranded = this.isStranded(report, ownersToken, now);
+    this.reportedAt.set(report.host, now);
+    return isStranded;
+  }
+
+  /** Forgets those that have not been here for a while. */
+  prune(now: number): void {
+    for (const [host, at] of this.reportedAt) {
+      if (now - at <= KNOCK_MS) continue;
+      this.reportedAt.delete(host);
+      this.strandedSince.delete(host);
+    }
+  }
+
+  /**
+   * A worker that shows the present owner's token has been with it, and is here because it can't get there. Now and then
+   * it is sent home all the same, so that it does not stay once the way is open again.
+   */
+  private isStranded({ host, fence }: Report, ownersToken: number | undefined, now: number): boolean {
+    const wasServed = fence === ownersToken;
+    if (!wasServed && !this.has(host)) return false;
+    const since = this.strandedSince.get(host) ?? now;
+    this.strandedSince.set(host, since);
+    if (now - since < SEND_HOME_MS) return true;
+    this.strandedSince.delete(host);
+    return false;
+  }
+}
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -2,12 +2,10 @@
   FORGET_WORKER_LEASES,
   FRESH_MS,
   GREET_AGAIN_MS,
-  KNOCK_MS,
   MAX_GREETINGS,
   MAX_ORDERS_BYTES,
   PUSH_GATHER_MS,
   RAISE_PAUSE_MS,
-  SEND_HOME_MS,
   SILENT_REPORTS,
   SWEEP_MS,
 } from '../constants.js';
@@ -19,7 +17,7 @@
 import type { HttpClient } from '../net/http-client.js';
 import type { Committer } from '../state/committer.js';
 import type { Replica } from '../state/replica.js';
-import { sendCommands } from '../workers/commands.js';
+import { sendCommands, type CommandResult } from '../workers/commands.js';
 import {
   attemptOf,
   findProof,
@@ -31,11 +29,12 @@
   type Plan,
   type Rights,
 } from '../workers/reconcile.js';
-import { encodeOrder, type Report } from '../workers/report.js';
+import { encodeOrder, type Order, type Report } from '../workers/report.js';
 import { leaseOverAt, reportLateMs, Worker } from '../workers/worker.js';
 import { holdOverMs, partRole, type Claims, type Held } from './claims.js';
 import { ExitRecorder, type ExitListener } from './exit-recorder.js';
 import type { Log } from './log.js';
+import { MisdirectedWorkers } from './misdirected-workers.js';
 import { Stragglers } from './stragglers.js';
 import { WorkerRegistry } from './worker-registry.js';
 
@@ -44,8 +43,8 @@
   | { status: 421; body: { Steward?: string }; again: boolean }
   | { status: 503; body: { error: string } };
 
-/** What an owner asks of its surroundings, and where it tells of checks. */
-export interface OwnerSurroundings extends ExitListener {
+/** What an owner asks of its surroundings, and where it tells of checks and exits. */
+export interface OwnerEvents extends ExitListener {
   /** A report was heard: one check of each service task on the machine. */
   checked(report: Report): void;
   /** Has the cloud confirmed that the machine is gone? */
@@ -58,15 +57,33 @@
   cacheGb(flavor: string): number;
 }
 
+export interface OwnerDependencies {
+  settings: Settings;
+  claims: Claims;
+  replica: Replica;
+  book: Book;
+  committer: Committer;
+  http: HttpClient;
+  clock: Clock;
+  events: OwnerEvents;
+  log: Log;
+}
+
 /** The session's lease is over, as this node knows by itself. */
 const leaseProof = (place: Place): Proof => ({ kind: 'lease', tenure: place.slot.tenure });
 
 /** What an owner does for the workers of its parts: answers reports, sends commands, records exits, proves leases over. */
 export class Owner {
   readonly workers: WorkerRegistry;
-  /** Workers that came here though another node owns them: evidence that they live and can't reach their owner. */
-  readonly knocks = new Map<string, number>();
-  private readonly strandedSince = new Map<string, number>();
+  readonly misdirected = new MisdirectedWorkers();
+  private readonly settings: Settings;
+  private readonly claims: Claims;
+  private readonly replica: Replica;
+  private readonly book: Book;
+  private readonly http: HttpClient;
+  private readonly clock: Clock;
+  private readonly events: OwnerEvents;
+  private readonly log: Log;
   private readonly exits: ExitRecorder;
   private readonly stragglers: Stragglers;
   /** Steady ms of the next push to each machine. */
@@ -75,30 +92,19 @@
   private readonly greetedAt = new Map<string, number>();
   private readonly raisedAt = new Map<string, number>();
 
-  constructor(
-    private readonly settings: Settings,
-    private readonly claims: Claims,
-    private readonly replica: Replica,
-    private readonly book: Book,
-    committer: Committer,
-    private readonly http: HttpClient,
-    private readonly clock: Clock,
-    private readonly events: OwnerSurroundings,
-    private readonly log: Log,
-  ) {
+  constructor(dependencies: OwnerDependencies) {
+    const { settings, claims, replica, book, committer, http, clock, events, log } = dependencies;
+    this.settings = settings;
+    this.claims = claims;
+    this.replica = replica;
+    this.book = book;
+    this.http = http;
+    this.clock = clock;
+    this.events = events;
+    this.log = log;
     this.workers = new WorkerRegistry(claims, settings.cluster.workers);
     this.stragglers = new Stragglers(claims, book, committer, clock, log);
-    this.exits = new ExitRecorder({
-      settings,
-      claims,
-      book,
-      committer,
-      workers: this.workers,
-      stragglers: this.stragglers,
-      events,
-      clock,
-      log,
-    });
+    this.exits = new ExitRecorder({ ...dependencies, workers: this.workers, stragglers: this.stragglers });
   }
 
   roleOf(host: string): string {
@@ -119,13 +125,7 @@
     // A worker that has seen a higher token has a new owner, of whom a node without store and peers knows nothing. Its 200
     // would be dropped, and would keep the worker here while its lease runs out.
     if (held === undefined || report.fence > held.fence) return this.turnAway(report, role, now);
-    let worker = this.workers.get(report.host);
-    if (worker === undefined) {
-      worker = new Worker(report.host);
-      for (const bundle of this.events.knownImages(report.host)) worker.images.set(bundle, 0);
-      this.workers.add(worker);
-      this.log.debug({ machine: report.host, role, tenure: report.tenure, flavor: report.flavor }, 'worker heard');
-    }
+    const worker = this.workers.get(report.host) ?? this.welcome(report, role);
     // A late copy was sent before the newest report that is known: its answer makes no lease any longer.
     if (worker.isLate(report)) return { status: 200, body: { Fence: held.fence, Orders: [] } };
     const newSession = report.tenure > worker.tenure && worker.tenure > 0;
@@ -140,19 +140,32 @@
     this.stragglers.look(worker);
     const plan = reconcile(worker, desired, this.rights(held, true));
     this.carryOut(worker, role, plan);
-    const orders: unknown[] = [];
+    return { status: 200, body: { Fence: held.fence, Orders: this.encodeAnswer(worker, plan.orders, report.tick) } };
+  }
+
+  /** A worker that is heard for the first time. */
+  private welcome(report: Report, role: string): Worker {
+    const worker = new Worker(report.host);
+    for (const bundle of this.events.knownImages(report.host)) worker.images.set(bundle, 0);
+    this.workers.add(worker);
+    this.log.debug({ machine: report.host, role, tenure: report.tenure, flavor: report.flavor }, 'worker heard');
+    return worker;
+  }
+
+  /** As many orders as an answer holds; the rest goes with the next one. */
+  private encodeAnswer(worker: Worker, orders: readonly Order[], tick: number): unknown[] {
+    const encoded: unknown[] = [];
     let bytes = 0;
-    for (const order of plan.orders) {
+    for (const order of orders) {
       const wire = encodeOrder(order);
       bytes += JSON.stringify(wire).length + 1;
       if (bytes > MAX_ORDERS_BYTES) break;
-      orders.push(wire);
-      if (order.verb === 'launch') {
-        worker.answeredLaunches.set(keyOf(order), report.tick);
-        this.log.debug({ machine: report.host, shard: order.shard, attempt: order.attempt }, 'launch in answer');
-      }
+      encoded.push(wire);
+      if (order.verb !== 'launch') continue;
+      worker.answeredLaunches.set(keyOf(order), tick);
+      this.log.debug({ machine: worker.host, shard: order.shard, attempt: order.attempt }, 'launch in answer');
     }
-    return { status: 200, body: { Fence: held.fence, Orders: orders } };
+    return encoded;
   }
 
   /**
@@ -184,25 +197,10 @@
     if (owner === undefined || owner === this.settings.node) return { status: 503, body: { error: 'not entitled' } };
     // Copies of reports come late, by a lease and more: they are no sign of life, and nobody waits for their answer.
     if (this.events.isLate(report)) return { status: 421, body: { Steward: owner }, again: false };
-    const again = this.isStranded(report, role, now);
-    this.knocks.set(report.host, now);
+    const again = this.misdirected.note(report, this.book.claims.get(role)?.stamp, now);
     return { status: 421, body: { Steward: owner }, again };
   }
 
-  /**
-   * A worker that shows the present owner's fence has been with it, and is here because it can't get there. Now and then
-   * it is sent home all the same, so that it does not stay once the way is open again.
-   */
-  private isStranded(report: Report, role: string, now: number): boolean {
-    const served = report.fence === this.book.claims.get(role)?.stamp;
-    if (!served && !this.knocks.has(report.host)) return false;
-    const since = this.strandedSince.get(report.host) ?? now;
-    this.strandedSince.set(report.host, since);
-    if (now - since < SEND_HOME_MS) return true;
-    this.strandedSince.delete(report.host);
-    return false;
-  }
-
   private rights(held: Held, inAnswer: boolean): Rights {
     // What the former owner freed, and its worker has forgotten, starts again unless it is known here.
     const mayJudge = this.replica.epoch >= held.acquisition.stamp;
@@ -270,19 +268,7 @@
     const desired = this.desiredOn(host);
     const plan = reconcile(worker, desired, this.rights(held, false));
     this.carryOut(worker, role, plan);
-    // A worker that reports by way of another node is behind a cut: commands would only hang, and may arrive late. One that
-    // is silent may be dead, or can only answer. The kill of a cancelled task is final, so it may come whenever it can, by
-    // whatever copy knows of it.
-    const far = !this.claims.inTouch || this.isSilent(worker, this.clock.now()) || worker.door !== undefined;
-    // A launch whose arrival is open is repeated by the next report's answer, not by another command.
-    const orders = plan.orders.filter(
-      (order) =>
-        (order.verb === 'kill' && (!far || desired.get(order.shard)?.withdrawn === true)) ||
-        (order.verb === 'launch' &&
-          !far &&
-          !worker.openCommands.has(keyOf(order)) &&
-          !worker.answeredLaunches.has(keyOf(order))),
-    );
+    const orders = plan.orders.filter((order) => this.isForCommand(worker, order, desired));
     if (orders.length === 0) return;
     worker.pushing = true;
     const launches = orders.filter((order) => order.verb === 'launch').map(keyOf);
@@ -292,33 +278,56 @@
     worker.pushing = false;
     // The partition was lost and is back: what has been sent since is known of the new worker only, so this one judges nothing.
     if (this.workers.get(host) !== worker) return;
-    if (result.kind === 'unknown') {
-      this.log.info({ machine: host, launches }, 'commands without an answer');
-    } else {
-      for (const key of launches) if (worker.openCommands.get(key) === held.fence) worker.openCommands.delete(key);
-      if (result.kind === 'done') worker.noteReached();
-    }
-    if ('report' in result && result.report?.host === host && worker.take(result.report, this.clock.now(), false)) {
-      this.noteImages(worker);
-      const now = this.claims.holding(role);
-      if (now !== undefined) {
-        this.carryOut(worker, role, reconcile(worker, this.desiredOn(host), this.rights(now, false)));
-      }
-    }
+    this.noteCommandResult(worker, role, launches, held.fence, result);
     if (worker.pushAgain) {
       worker.pushAgain = false;
       this.push(host);
     }
   }
 
+  private isForCommand(worker: Worker, order: Order, desired: ReadonlyMap<string, Desired>): boolean {
+    // A worker that reports by way of another node is behind a cut: commands would only hang, and may arrive late. One that
+    // is silent may be dead, or can only answer.
+    const isFar = !this.claims.inTouch || this.isSilent(worker, this.clock.now()) || worker.door !== undefined;
+    // The kill of a cancelled task is final, so it may come whenever it can, by whatever copy knows of it.
+    if (order.verb === 'kill') return !isFar || desired.get(order.shard)?.withdrawn === true;
+    if (order.verb !== 'launch' || isFar) return false;
+    // A launch whose arrival is open is repeated by the next report's answer, not by another command.
+    const key = keyOf(order);
+    return !worker.openCommands.has(key) && !worker.answeredLaunches.has(key);
+  }
+
+  private noteCommandResult(
+    worker: Worker,
+    role: string,
+    launches: readonly string[],
+    fence: number,
+    result: CommandResult,
+  ): void {
+    if (result.kind === 'unknown') {
+      this.log.info({ machine: worker.host, launches }, 'commands without an answer');
+      return;
+    }
+    for (const key of launches) if (worker.openCommands.get(key) === fence) worker.openCommands.delete(key);
+    if (result.kind === 'done') worker.noteReached();
+    if (!('report' in result) || result.report?.host !== worker.host) return;
+    if (!worker.take(result.report, this.clock.now(), false)) return;
+    this.noteImages(worker);
+    const held = this.claims.holding(role);
+    if (held === undefined) return;
+    this.carryOut(worker, role, reconcile(worker, this.desiredOn(worker.host), this.rights(held, false)));
+  }
+
   private sweep(): void {
     const now = this.clock.now();
-    for (const [host, at] of this.knocks) {
-      if (now - at <= KNOCK_MS) continue;
-      this.knocks.delete(host);
-      this.strandedSince.delete(host);
-    }
+    this.misdirected.prune(now);
     for (const [host, at] of this.greetedAt) if (now - at > GREET_AGAIN_MS) this.greetedAt.delete(host);
+    this.freeDeadLeases();
+    this.stragglers.relieve(this.workers.values(), (host) => this.roleOf(host));
+    this.forgetSilent(now);
+  }
+
+  private freeDeadLeases(): void {
     for (const host of [...this.book.hostsInUse()]) {
       const role = this.roleOf(host);
       const held = this.claims.holding(role);
@@ -328,7 +337,9 @@
         this.exits.record(host, role, free, () => this.proofNow(host, role, place));
       }
     }
-    this.stragglers.relieve(this.workers.values(), (host) => this.roleOf(host));
+  }
+
+  private forgetSilent(now: number): void {
     const silentMs = FORGET_WORKER_LEASES * this.settings.cluster.workers.lease_s * 1000;
     for (const { host, heardAt } of [...this.workers.values()]) {
       if (now - heardAt > silentMs && this.book.countOn(host) === 0) this.workers.forget(host);
--- a/src/controller/report-service.ts
+++ b/src/controller/report-service.ts
@@ -23,9 +23,9 @@
     const { owner, onMisdirected } = this.dependencies;
     const report = decodeReport(body);
     if (report === undefined) return { status: 400, body: { error: 'not a report' } };
-    const wasMisdirected = owner.knocks.has(report.host);
+    const wasMisdirected = owner.misdirected.has(report.host);
     const answer = owner.hello(report);
-    if (!wasMisdirected && owner.knocks.has(report.host)) onMisdirected();
+    if (!wasMisdirected && owner.misdirected.has(report.host)) onMisdirected();
     // It has been sent to its owner before and is back: it can't get there, but this node may.
     if (answer.status === 421 && answer.again && answer.body.Steward !== undefined) {
       return this.relay(answer.body.Steward, body);
