--- a/src/controller/claims.ts
+++ b/src/controller/claims.ts
@@ -19,9 +19,9 @@
 import type { Log } from './log.js';
 
 export const LEADER = 'leader';
-export const partRole = (part: number): string => `part-${part}`;
+export const partitionRole = (partition: number): string => `part-${partition}`;
 
-/** FNV-1a: spreads machines and jobs over parts, the same in every node. */
+/** FNV-1a: spreads machines and jobs over partitions, the same in every node. */
 export function hashText(text: string): number {
   let hash = 0x811c9dc5;
   for (let i = 0; i < text.length; i++) hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193);
@@ -60,7 +60,7 @@
   readonly acquisition: Acquisition;
 }
 
-/** Holds and claims: which parts this node owns, and whether it may act on them right now. */
+/** Holds and claims: which partitions this node owns, and whether it may act on them right now. */
 export class Claims {
   private latch: number | undefined;
   private readonly held = new Map<string, Held>();
@@ -71,7 +71,7 @@
   private readonly taking = new Set<string>();
   private readonly ceding = new Set<string>();
   private readonly holdOver: number;
-  readonly parts: number;
+  readonly partitionCount: number;
   readonly home: number;
 
   constructor(
@@ -86,22 +86,22 @@
     private readonly random: Random,
     private readonly log: Log,
   ) {
-    this.parts = settings.cluster.size;
+    this.partitionCount = settings.cluster.size;
     this.holdOver = holdOverMs(settings.cluster.workers);
-    this.home = this.homes().indexOf(settings.node) % this.parts;
+    this.home = this.homes().indexOf(settings.node) % this.partitionCount;
   }
 
   private homes(): string[] {
     return [this.settings.node, ...this.settings.peers.map((peer) => peer.node)].sort();
   }
 
-  homeOf(part: number): string {
+  homeOf(partition: number): string {
     const nodes = this.homes();
-    return nodes[part % nodes.length]!;
+    return nodes[partition % nodes.length]!;
   }
 
-  partOf(name: string): number {
-    return hashText(name) % this.parts;
+  partitionOf(name: string): number {
+    return hashText(name) % this.partitionCount;
   }
 
   ownerOf(role: string): string | undefined {
@@ -144,8 +144,10 @@
     return this.clock.now() < this.coverage.asOf() + this.holdOver ? held : undefined;
   }
 
-  ownedParts(): number[] {
-    return Array.from({ length: this.parts }, (_, part) => part).filter((part) => this.holding(partRole(part)));
+  ownedPartitions(): number[] {
+    return Array.from({ length: this.partitionCount }, (_, partition) => partition).filter((partition) =>
+      this.holding(partitionRole(partition)),
+    );
   }
 
   get isLeader(): boolean {
@@ -248,8 +250,9 @@
   /** Takes the roles that are this node's to take. */
   async settle(): Promise<void> {
     if (this.latch === undefined || !this.replica.loaded || !this.inTouch) return;
-    const roles = [partRole(this.home), LEADER];
-    for (let part = 0; part < this.parts; part++) if (part !== this.home) roles.push(partRole(part));
+    const roles = [partitionRole(this.home), LEADER];
+    for (let partition = 0; partition < this.partitionCount; partition++)
+      if (partition !== this.home) roles.push(partitionRole(partition));
     const now = this.clock.now();
     const wanted = roles.filter((role) => {
       const claim = this.book.claims.get(role);
@@ -261,10 +264,10 @@
         return this.holding(role) === undefined && !this.ceding.has(role) && !this.taking.has(role);
       }
       if ((this.avoidUntil.get(role) ?? -Infinity) > now) return false;
-      if (role === partRole(this.home)) return true;
+      if (role === partitionRole(this.home)) return true;
       const since = this.orphanSince.get(role) ?? now;
       this.orphanSince.set(role, since);
-      const load = this.ownedParts().length * ORPHAN_WAIT_MS;
+      const load = this.ownedPartitions().length * ORPHAN_WAIT_MS;
       const wait = load + this.courtesyMs(role) + this.random.float() * ORPHAN_WAIT_MS;
       return now - since >= wait;
     });
@@ -280,7 +283,7 @@
     while (!signal.aborted) {
       const started = this.clock.now();
       await this.beat().catch((error: unknown) => this.log.debug({ error: String(error) }, 'heartbeat failed'));
-      const vacant = this.replica.loaded && this.book.claims.size < this.parts + 1;
+      const vacant = this.replica.loaded && this.book.claims.size < this.partitionCount + 1;
       const pause = (vacant ? HEARTBEAT_MS / 5 : HEARTBEAT_MS) - (this.clock.now() - started);
       await this.clock.sleep(Math.max(pause, 50), signal);
     }
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -30,7 +30,7 @@
 import { Committer, txnLimits } from '../state/committer.js';
 import { Replica } from '../state/replica.js';
 import type { Report } from '../workers/report.js';
-import { Claims, LEADER, partRole } from './claims.js';
+import { Claims, LEADER, partitionRole } from './claims.js';
 import { Fleet } from './fleet.js';
 import { GossipExchange } from './gossip-exchange.js';
 import { JobCompletion } from './job-completion.js';
@@ -387,7 +387,7 @@
   /** Does work wait here for seconds at most, that this very node places? */
   private isUrgent({ ref, record, queued }: JobView): boolean {
     if (record.spec.Shape === 'array' || queued.length === 0) return false;
-    const role = isLarge(record.spec) ? LEADER : partRole(this.claims.partOf(ref));
+    const role = isLarge(record.spec) ? LEADER : partitionRole(this.claims.partitionOf(ref));
     return this.claims.holding(role) !== undefined;
   }
 
--- a/src/controller/fleet.ts
+++ b/src/controller/fleet.ts
@@ -12,7 +12,7 @@
 import type { Settings } from '../config/settings.js';
 import type { Clock } from '../net/clock.js';
 import type { Claims, Held } from './claims.js';
-import { partRole } from './claims.js';
+import { partitionRole } from './claims.js';
 import type { Owner } from './owner.js';
 import type { MachineState } from '../workers/machine-state.js';
 import { isNewerThan, type Report } from '../workers/report.js';
@@ -89,7 +89,7 @@
     }
   }
 
-  /** The machines of this node's own parts. */
+  /** The machines of this node's own partitions. */
   own(): MachineInfo[] {
     const list = [...this.owner.workers.values()].map((worker) => this.describe(worker));
     // What a former owner said of machines that have not reported since: they count as heard when this node took over.
@@ -102,7 +102,7 @@
   }
 
   private heldFor(host: string): Held | undefined {
-    return this.claims.holding(partRole(this.claims.partOf(host)));
+    return this.claims.holding(partitionRole(this.claims.partitionOf(host)));
   }
 
   private describe(worker: Worker): MachineInfo {
@@ -237,7 +237,7 @@
     const now = this.clock.now();
     if (this.heldFor(machine.host) !== undefined) return now - machine.heardAt > allowed;
     const knownAt = this.knownAt.get(machine.host) ?? -Infinity;
-    const owner = this.claims.ownerOf(partRole(this.claims.partOf(machine.host)));
+    const owner = this.claims.ownerOf(partitionRole(this.claims.partitionOf(machine.host)));
     // No word of an owner that still holds its claim: nodes don't hear each other, which says nothing of its machines.
     if (now - knownAt > GOSSIP_STALE_MS && owner === machine.owner) return knownAt - machine.heardAt > allowed;
     return now - machine.heardAt > allowed + GOSSIP_STALE_MS / 2;
--- a/src/controller/gossip-exchange.ts
+++ b/src/controller/gossip-exchange.ts
@@ -12,7 +12,7 @@
 } from '../mesh/machine-updates.js';
 import type { Clock } from '../net/clock.js';
 import type { Replica } from '../state/replica.js';
-import { partRole, type Claims } from './claims.js';
+import { partitionRole, type Claims } from './claims.js';
 import type { Fleet, MachineInfo } from './fleet.js';
 import type { Log } from './log.js';
 import type { Owner } from './owner.js';
@@ -74,8 +74,10 @@
     if (now - this.own.at < GOSSIP_VIEW_MS) return this.own;
     const { claims, fleet } = this.dependencies;
     // A node that must not answer its workers knows nothing of them either.
-    const parts = claims.ownedParts().filter((part) => claims.mayAnswer(partRole(part)) !== undefined);
-    const machines = fleet.own().filter(({ host }) => parts.includes(claims.partOf(host)));
+    const partitions = claims
+      .ownedPartitions()
+      .filter((partition) => claims.mayAnswer(partitionRole(partition)) !== undefined);
+    const machines = fleet.own().filter(({ host }) => partitions.includes(claims.partitionOf(host)));
     this.own = describeOwnMachines(
       now,
       machines.map((machine) => encodeMachine(machine, now, now)),
--- a/src/controller/job-completion.ts
+++ b/src/controller/job-completion.ts
@@ -5,7 +5,7 @@
 import { Priority } from '../net/token-bucket.js';
 import type { Committer, Draft } from '../state/committer.js';
 import type { Replica } from '../state/replica.js';
-import { LEADER, partRole, type Claims } from './claims.js';
+import { LEADER, partitionRole, type Claims } from './claims.js';
 import type { Log } from './log.js';
 
 export interface JobCompletionDependencies {
@@ -55,7 +55,7 @@
 
   private isResponsible(ref: string): boolean {
     const { claims } = this.dependencies;
-    const role = partRole(claims.partOf(ref));
+    const role = partitionRole(claims.partitionOf(ref));
     const isMine = claims.holding(role) !== undefined;
     return isMine || (claims.isLeader && claims.ownerOf(role) === undefined);
   }
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -24,7 +24,7 @@
 import type { Committer } from '../state/committer.js';
 import type { Peers } from '../mesh/peers.js';
 import { reportLateMs, silenceLimitMs } from '../workers/worker.js';
-import { LEADER, partRole, type Claims } from './claims.js';
+import { LEADER, partitionRole, type Claims } from './claims.js';
 import type { Fleet, MachineInfo } from './fleet.js';
 import type { Log } from './log.js';
 import type { Planner } from './planner.js';
@@ -208,15 +208,21 @@
     const limit = silenceLimitMs(this.settings.cluster.workers);
     const watched: Watched[] = [];
     for (const machine of all.values()) {
-      const part = this.claims.partOf(machine.host);
+      const partition = this.claims.partitionOf(machine.host);
       // Only the word of the present owner counts: a former one, cut off, would call them all silent.
-      const isOwners = machine.owner === this.claims.ownerOf(partRole(part));
+      const isOwners = machine.owner === this.claims.ownerOf(partitionRole(partition));
       if (!isOwners || this.fleet.gone.has(machine.host) || !this.fleet.isCurrent(machine.host)) continue;
       const age = now - machine.heardAt;
       // A mute machine's lease has run out, so nothing runs there any more; only its being gone proves that at once.
       const silent = machine.mute || (age > limit && !this.knocked(machine));
       const quiet = silent || age > reportLateMs(this.settings.cluster.workers);
-      watched.push({ host: machine.host, part, site: machine.site, silentMs: silent ? Math.max(age, 1) : 0, quiet });
+      watched.push({
+        host: machine.host,
+        partition,
+        site: machine.site,
+        silentMs: silent ? Math.max(age, 1) : 0,
+        quiet,
+      });
     }
     watched.push(...this.unheard(all, now));
     for (const site of cutZones(watched)) this.cutAt.set(site, now);
@@ -225,7 +231,7 @@
   }
 
   /**
-   * Machines with tasks that nobody has heard since the owners of their parts took over: what died while all nodes were down
+   * Machines with tasks that nobody has heard since the owners of their partitions took over: what died while all nodes were down
    * is told of by no former owner, and would else be waited for until its lease is proved over.
    */
   private unheard(all: ReadonlyMap<string, MachineInfo>, now: number): Watched[] {
@@ -237,14 +243,20 @@
     }
     for (const host of this.book.hostsInUse()) {
       if (all.has(host) || this.fleet.gone.has(host)) continue;
-      const part = this.claims.partOf(host);
-      const owner = this.claims.ownerOf(partRole(part));
+      const partition = this.claims.partitionOf(host);
+      const owner = this.claims.ownerOf(partitionRole(partition));
       const told = owner === this.settings.node || (owner !== undefined && this.peers.heard().includes(owner));
       const [place] = this.book.placesOn(host);
       if (!told || place === undefined) continue;
-      const age = now - this.ownerSince.get(partRole(part))!.at;
+      const age = now - this.ownerSince.get(partitionRole(partition))!.at;
       const silent = age > UNHEARD_LIMITS * silenceLimitMs(workers) && !this.peers.knocked(host, -Infinity);
-      list.push({ host, part, site: place.slot.site, silentMs: silent ? age : 0, quiet: age > reportLateMs(workers) });
+      list.push({
+        host,
+        partition,
+        site: place.slot.site,
+        silentMs: silent ? age : 0,
+        quiet: age > reportLateMs(workers),
+      });
     }
     return list;
   }
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -31,7 +31,7 @@
 } from '../workers/reconcile.js';
 import { encodeOrder, type Order, type Report } from '../workers/report.js';
 import { leaseOverAt, reportLateMs, Worker } from '../workers/worker.js';
-import { holdOverMs, partRole, type Claims, type Held } from './claims.js';
+import { holdOverMs, partitionRole, type Claims, type Held } from './claims.js';
 import { ExitRecorder, type ExitListener } from './exit-recorder.js';
 import type { Log } from './log.js';
 import { MisdirectedWorkers } from './misdirected-workers.js';
@@ -72,7 +72,7 @@
 /** The session's lease is over, as this node knows by itself. */
 const leaseProof = (place: Place): Proof => ({ kind: 'lease', tenure: place.slot.tenure });
 
-/** What an owner does for the workers of its parts: answers reports, sends commands, records exits, proves leases over. */
+/** What an owner does for the workers of its partitions: answers reports, sends commands, records exits, proves leases over. */
 export class Owner {
   readonly workers: WorkerRegistry;
   readonly misdirected = new MisdirectedWorkers();
@@ -108,7 +108,7 @@
   }
 
   roleOf(host: string): string {
-    return partRole(this.claims.partOf(host));
+    return partitionRole(this.claims.partitionOf(host));
   }
 
   isSilent(worker: Worker, now: number): boolean {
--- a/src/controller/placer.ts
+++ b/src/controller/placer.ts
@@ -17,7 +17,7 @@
   slot: Extract<Slot, { kind: 'queued' }>;
 }
 
-/** Jobs that the leader places: their tasks depend on each other, or need more than a part. */
+/** Jobs that the leader places: their tasks depend on each other, or need more than a partition. */
 export const isLarge = (spec: JobSpec): boolean => spec.Shape === 'ensemble' || spec.OneZone || spec.Spread;
 
 /** Matches the waiting tasks of one job after the other to machines, on rooms that the caller keeps. */
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -24,7 +24,7 @@
 import { before, isFeasible, targetsOf, withinGuarantee, type Candidate } from '../placement/queue.js';
 import { roomOfFlavor } from '../placement/renting.js';
 import type { Committer, Draft } from '../state/committer.js';
-import { LEADER, partRole, type Claims } from './claims.js';
+import { LEADER, partitionRole, type Claims } from './claims.js';
 import type { Fleet, MachineInfo } from './fleet.js';
 import type { Log } from './log.js';
 import { isLarge, Placer, type Waiting } from './placer.js';
@@ -42,7 +42,7 @@
   attempt: number;
 }
 
-/** Finds places for waiting tasks: an owner for small jobs of its parts, the leader for the rest. */
+/** Finds places for waiting tasks: an owner for small jobs of its partitions, the leader for the rest. */
 export class Planner {
   private readonly flights = new Map<string, Flight>();
   /** The flying shards of each job. */
@@ -220,8 +220,8 @@
 
   private plan(): void {
     const leader = this.claims.isLeader;
-    const parts = new Set(this.claims.ownedParts());
-    if (!this.claims.inTouch || (!leader && parts.size === 0) || this.fleet.catalog.size === 0) return;
+    const partitions = new Set(this.claims.ownedPartitions());
+    if (!this.claims.inTouch || (!leader && partitions.size === 0) || this.fleet.catalog.size === 0) return;
     const candidates = this.candidates();
     if (candidates.length === 0) {
       this.unplaced = [];
@@ -230,15 +230,15 @@
     const machines = this.fleet.open();
     const rooms = this.rooms(machines);
     const uses = this.uses();
-    const pools = new Pools(machines, (host) => this.claims.partOf(host));
+    const pools = new Pools(machines, (host) => this.claims.partitionOf(host));
     const unplaced: Waiting[] = [];
     this.placer.begin();
     for (const { record, overdue } of candidates) {
       const { spec } = record;
-      const part = this.claims.partOf(spec.Ref);
+      const partition = this.claims.partitionOf(spec.Ref);
       const large = isLarge(spec);
       const pool = large ? pools.allowed(spec) : undefined;
-      const split = large ? undefined : pools.split(spec, part);
+      const split = large ? undefined : pools.split(spec, partition);
       // A full cluster is the usual case under load: only the leader needs to know who waits there.
       const full = pool?.isFull(spec) ?? (split!.near.isFull(spec) && split!.far.isFull(spec));
       if (full && !leader) continue;
@@ -255,7 +255,7 @@
       }
       const { near, far } = split!;
       const left: Waiting[] = [];
-      this.place(waiting, near, rooms, uses, parts.has(part) ? partRole(part) : undefined, left);
+      this.place(waiting, near, rooms, uses, partitions.has(partition) ? partitionRole(partition) : undefined, left);
       this.place(left, far, rooms, uses, leader ? LEADER : undefined, unplaced);
     }
     if (leader) this.unplaced = unplaced;
--- a/src/controller/pools.ts
+++ b/src/controller/pools.ts
@@ -20,20 +20,20 @@
 
 interface Kind {
   allowed: Pool;
-  /** By part: its machines, and all others. */
-  parts: Map<number, { near: Pool; far: Pool }>;
+  /** By partition: its machines, and all others. */
+  partitions: Map<number, { near: Pool; far: Pool }>;
 }
 
 /** The open machines of one planner run, sorted once for all jobs that ask for the same kind of machine. */
 export class Pools {
   private readonly kinds = new Map<string, Kind>();
-  private readonly parts: Map<string, number>;
+  private readonly partitions: Map<string, number>;
 
   constructor(
     private readonly machines: readonly MachineInfo[],
-    partOf: (host: string) => number,
+    partitionOf: (host: string) => number,
   ) {
-    this.parts = new Map(machines.map((machine) => [machine.host, partOf(machine.host)]));
+    this.partitions = new Map(machines.map((machine) => [machine.host, partitionOf(machine.host)]));
   }
 
   private kind(spec: JobSpec): Kind {
@@ -41,7 +41,7 @@
     let kind = this.kinds.get(key);
     if (kind === undefined) {
       const allowed = new Pool(this.machines.filter((machine) => allowedOn(spec, machine)));
-      this.kinds.set(key, (kind = { allowed, parts: new Map() }));
+      this.kinds.set(key, (kind = { allowed, partitions: new Map() }));
     }
     return kind;
   }
@@ -51,15 +51,15 @@
     return this.kind(spec).allowed;
   }
 
-  /** The same, those of a part apart from the others. */
-  split(spec: JobSpec, part: number): { near: Pool; far: Pool } {
-    const { allowed, parts } = this.kind(spec);
-    let split = parts.get(part);
+  /** The same, those of a partition apart from the others. */
+  split(spec: JobSpec, partition: number): { near: Pool; far: Pool } {
+    const { allowed, partitions } = this.kind(spec);
+    let split = partitions.get(partition);
     if (split === undefined) {
-      const isNear = (machine: MachineInfo) => this.parts.get(machine.host) === part;
+      const isNear = (machine: MachineInfo) => this.partitions.get(machine.host) === partition;
       const near = new Pool(allowed.machines.filter(isNear));
       const far = new Pool(allowed.machines.filter((machine) => !isNear(machine)));
-      parts.set(part, (split = { near, far }));
+      partitions.set(partition, (split = { near, far }));
     }
     return split;
   }
--- a/src/controller/rebalancer.ts
+++ b/src/controller/rebalancer.ts
@@ -4,7 +4,7 @@
 import type { Peers } from '../mesh/peers.js';
 import type { Clock } from '../net/clock.js';
 import { silenceLimitMs } from '../workers/worker.js';
-import { partRole, type Claims } from './claims.js';
+import { partitionRole, type Claims } from './claims.js';
 import type { Owner } from './owner.js';
 
 export interface RebalancerDependencies {
@@ -21,27 +21,27 @@
   /** One look at each partition that this node owns. */
   rebalance(): void {
     const { claims } = this.dependencies;
-    for (const part of claims.ownedParts()) {
-      const role = partRole(part);
-      if (this.isWantedAtHome(part)) void claims.cede(role, 'its own node is back', HOLD_TTL_MS);
-      else if (this.isOutOfReach(part)) void claims.cede(role, 'its workers reach other nodes only', AVOID_MS);
+    for (const partition of claims.ownedPartitions()) {
+      const role = partitionRole(partition);
+      if (this.isWantedAtHome(partition)) void claims.cede(role, 'its own node is back', HOLD_TTL_MS);
+      else if (this.isOutOfReach(partition)) void claims.cede(role, 'its workers reach other nodes only', AVOID_MS);
     }
   }
 
   /** The partition belongs to another node, which has been up for a while and does not avoid it. */
-  private isWantedAtHome(part: number): boolean {
+  private isWantedAtHome(partition: number): boolean {
     const { settings, claims, peers } = this.dependencies;
-    const home = claims.homeOf(part);
+    const home = claims.homeOf(partition);
     const isReady = peers.upMs(home) > HANDBACK_MS && peers.hasStore(home);
-    return home !== settings.node && isReady && !peers.avoids(home, partRole(part));
+    return home !== settings.node && isReady && !peers.avoids(home, partitionRole(partition));
   }
 
   /** Many of the partition's workers are silent here, and most of these have been seen at other nodes since. */
-  private isOutOfReach(part: number): boolean {
+  private isOutOfReach(partition: number): boolean {
     const { settings, owner, peers, clock } = this.dependencies;
     const now = clock.now();
     const limit = silenceLimitMs(settings.cluster.workers);
-    const workers = [...owner.workers.ofPartition(part)];
+    const workers = [...owner.workers.ofPartition(partition)];
     const silent = workers.filter((worker) => now - worker.reportedAt > limit);
     if (silent.length < LEAST_SILENT_WORKERS || silent.length <= workers.length * SELF_SUSPECT_SHARE) return false;
     const seenElsewhere = silent.filter((worker) => peers.knocked(worker.host, worker.reportedAt));
--- a/src/controller/rescheduler.ts
+++ b/src/controller/rescheduler.ts
@@ -9,7 +9,7 @@
 import type { Happiness } from '../placement/happiness.js';
 import { match, type Host, type Seeker } from '../placement/matching.js';
 import type { Committer } from '../state/committer.js';
-import { partRole, type Claims } from './claims.js';
+import { partitionRole, type Claims } from './claims.js';
 import type { Fleet } from './fleet.js';
 import type { Log } from './log.js';
 import type { Planner } from './planner.js';
@@ -40,13 +40,13 @@
     while (!signal.aborted) {
       await this.clock.sleep(this.random.jitter(this.tuning.check_s * 1000), signal);
       if (signal.aborted || !this.claims.inTouch || this.othersComeFirst()) continue;
-      for (const part of this.claims.ownedParts()) this.round(part);
+      for (const partition of this.claims.ownedPartitions()) this.round(partition);
     }
   }
 
   /**
    * More service tasks without any place than a round would move: they come first. After an outage or a lost zone all that
-   * have died count as unhappy, and matching a whole part anew takes the time that the starts and the reports need.
+   * have died count as unhappy, and matching a whole partition anew takes the time that the starts and the reports need.
    */
   private othersComeFirst(): boolean {
     let waiting = 0;
@@ -56,10 +56,10 @@
     return waiting > this.tuning.moves_per_round;
   }
 
-  private round(part: number): void {
+  private round(partition: number): void {
     const now = this.clock.now();
     const machines = [...this.fleet.all().values()].filter(
-      (machine) => this.claims.partOf(machine.host) === part && this.fleet.isOpen(machine),
+      (machine) => this.claims.partitionOf(machine.host) === partition && this.fleet.isOpen(machine),
     );
     const running: Running[] = [];
     for (const machine of machines) {
@@ -89,7 +89,7 @@
       this.planner.prefer(name, host.id);
       this.log.info({ shard: name, from: place.slot.host, to: host.id }, 'unhappy task moves');
       void this.committer.commit('move', Priority.start, (draft) => {
-        if (!this.claims.require(draft, partRole(part))) return false;
+        if (!this.claims.require(draft, partitionRole(partition))) return false;
         return stopShard(draft, place.ref, place.shard, place.slot.host, place.slot.attempt, 0);
       });
     }
@@ -105,7 +105,7 @@
 
   private rematch(running: readonly Running[], machines: readonly { host: string; site: string; flavor: string }[]) {
     const rooms = this.planner.rooms(this.machinesOf(machines));
-    // All service tasks of the part are matched anew, so their room counts as free.
+    // All service tasks of the partition are matched anew, so their room counts as free.
     for (const { place, spec } of running) {
       const room = rooms.get(place.slot.host);
       if (room === undefined) continue;
--- a/src/controller/withdrawal-enforcer.ts
+++ b/src/controller/withdrawal-enforcer.ts
@@ -5,7 +5,7 @@
 import type { HttpClient } from '../net/http-client.js';
 import { sendCommands } from '../workers/commands.js';
 import type { Order } from '../workers/report.js';
-import { partRole, type Claims } from './claims.js';
+import { partitionRole, type Claims } from './claims.js';
 import type { Fleet } from './fleet.js';
 import type { Log } from './log.js';
 
@@ -50,10 +50,10 @@
       if (view.record.phase !== 'withdrawn' || view.placed === 0) continue;
       for (const [shard, slot] of view.known()) {
         if (slot.kind !== 'placed') continue;
-        const role = partRole(this.claims.partOf(slot.host));
+        const role = partitionRole(this.claims.partitionOf(slot.host));
         const claim = this.book.claims.get(role);
         if (claim === undefined || this.claims.holding(role) !== undefined) continue;
-        // An owner that is only busy, or whose part others will take over, needs no help.
+        // An owner that is only busy, or whose partition others will take over, needs no help.
         if (this.claims.inTouch && !this.peers.saysWithoutStore(claim.record.node)) continue;
         let here = left.get(slot.host);
         if (here === undefined || here.tenure < slot.tenure) {
--- a/src/controller/worker-registry.ts
+++ b/src/controller/worker-registry.ts
@@ -6,7 +6,7 @@
 import { FRESH_MS } from '../constants.js';
 import type { Settings } from '../config/settings.js';
 import { leaseOverAt, Worker } from '../workers/worker.js';
-import { holdOverMs, partRole, type Acquisition, type Claims, type Held } from './claims.js';
+import { holdOverMs, partitionRole, type Acquisition, type Claims, type Held } from './claims.js';
 
 /** The workers of one partition, for as long as one acquisition of its claim lasts. */
 interface PartitionKnowledge {
@@ -35,17 +35,17 @@
 
   /** All workers heard, of one partition after the other. */
   *values(): Generator<Worker> {
-    for (let partition = 0; partition < this.claims.parts; partition++) yield* this.ofPartition(partition);
+    for (let partition = 0; partition < this.claims.partitionCount; partition++) yield* this.ofPartition(partition);
   }
 
   ofPartition(partition: number): Iterable<Worker> {
-    return this.knowledgeOf(this.claims.acquisition(partRole(partition)))?.workers.values() ?? [];
+    return this.knowledgeOf(this.claims.acquisition(partitionRole(partition)))?.workers.values() ?? [];
   }
 
   get size(): number {
     let size = 0;
-    for (let partition = 0; partition < this.claims.parts; partition++) {
-      size += this.knowledgeOf(this.claims.acquisition(partRole(partition)))?.workers.size ?? 0;
+    for (let partition = 0; partition < this.claims.partitionCount; partition++) {
+      size += this.knowledgeOf(this.claims.acquisition(partitionRole(partition)))?.workers.size ?? 0;
     }
     return size;
   }
@@ -88,7 +88,7 @@
   }
 
   private knowledgeFor(host: string): PartitionKnowledge | undefined {
-    return this.knowledgeOf(this.claims.acquisition(partRole(this.claims.partOf(host))));
+    return this.knowledgeOf(this.claims.acquisition(partitionRole(this.claims.partitionOf(host))));
   }
 
   private knowledgeOf(acquisition: Acquisition | undefined): PartitionKnowledge | undefined {
--- a/src/placement/silence.ts
+++ b/src/placement/silence.ts
@@ -3,7 +3,7 @@
 /** What an owner says of one of its machines, as far as giving it up goes. */
 export interface Watched {
   host: string;
-  part: number;
+  partition: number;
   site: string;
   /** ms for which nothing has shown that it lives and can be reached; 0: it does and can. */
   silentMs: number;
@@ -37,17 +37,17 @@
 }
 
 /**
- * Silent machines that are to be given back. Where most of a part are silent, its owner is the one that can't be reached.
+ * Silent machines that are to be given back. Where most of a partition are silent, its owner is the one that can't be reached.
  * Where most of a zone are, the zone is cut off: its machines come back with their images when the cut ends, new ones could
  * not be reached either, and what ran there is free when the leases are over. Since reports come at different times, the
  * first machine to count as silent is judged by how many others are late already; and since they come back at different
  * times, a zone is spared for a while after.
  */
 export function machinesToGiveUp(machines: readonly Watched[], spared: ReadonlySet<string>): string[] {
-  const parts = grouped(machines, (machine) => machine.part);
+  const partitions = grouped(machines, (machine) => machine.partition);
   return machines
-    .filter(({ part, site, silentMs }) => {
-      if (silentMs <= 0 || !few(parts.get(part)!, SELF_SUSPECT_SHARE)) return false;
+    .filter(({ partition, site, silentMs }) => {
+      if (silentMs <= 0 || !few(partitions.get(partition)!, SELF_SUSPECT_SHARE)) return false;
       return !spared.has(site) || silentMs > ZONE_PATIENCE_MS;
     })
     .map(({ host }) => host);
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -15,7 +15,7 @@
 import { FakeStore } from './fake-store.js';
 import { FakeUsers } from './fake-users.js';
 import { ANSWER_MS, FakeWorker, type Description, type Room, type WorkerOptions } from './fake-worker.js';
-import { Judge, type UserAnswer } from './judge.js';
+import { InvariantChecker, type UserAnswer } from './invariant-checker.js';
 
 /** ms that users wait for an answer. */
 const POLL_PATIENCE_MS = 2000;
@@ -164,7 +164,7 @@
   readonly store = new FakeStore(this.clock);
   readonly cloud: FakeCloud;
   /** Sees all that workers run and users are told. */
-  readonly judge: Judge;
+  readonly checker: InvariantChecker;
   readonly workers = new Map<string, FakeWorker>();
   /** Workers that are dead or cut off from all nodes. */
   readonly cut = new Set<string>();
@@ -178,7 +178,7 @@
   readonly parted = new Set<string>();
   /** Of that share of the workers' reports a copy arrives again later, at the same node. */
   lateReports: { share: number; lateMs: [number, number] } | undefined;
-  /** Users who repeat what fails and go on asking; they act when a story tells them to. */
+  /** Users who repeat what fails and go on asking; they act when a scenario tells them to. */
   readonly users: FakeUsers;
   /** Called when a task has ended, at that very moment. */
   onTaskEnd: (shard: string, cause: string) => void = () => undefined;
@@ -195,7 +195,7 @@
     const { teams, workers } = settingsOf(0, 1, options).cluster;
     this.leaseS = workers.lease_s;
     this.gangs = new FakeGangs(this.clock, workers.gang_wait_s * 1000, workers.gang_peer_s * 1000);
-    this.judge = new Judge({ teams, flavors, cancelS: workers.cancel_s });
+    this.checker = new InvariantChecker({ teams, flavors, cancelS: workers.cancel_s });
     this.cloud = new FakeCloud(flavors);
     this.cloud.onReturn = (host) => this.kill(host);
     this.cloud.onHire = (host) => this.boot(host);
@@ -310,10 +310,10 @@
       results: this.results,
     });
     this.workers.set(host, worker);
-    this.judge.machineUp(host, { flavor, site, reclaimable });
-    worker.onStart = (shard, orderedAt) => this.judge.taskStarted(this.clock.now(), host, shard, orderedAt);
+    this.checker.machineUp(host, { flavor, site, reclaimable });
+    worker.onStart = (shard, orderedAt) => this.checker.taskStarted(this.clock.now(), host, shard, orderedAt);
     worker.onEnd = (shard, cause) => {
-      this.judge.taskEnded(this.clock.now(), host, shard, cause);
+      this.checker.taskEnded(this.clock.now(), host, shard, cause);
       this.onTaskEnd(shard, cause);
     };
     this.network.serve(worker.endpoint, (method, path, body, sender) => worker.handle(method, path, body, sender.at));
@@ -341,7 +341,7 @@
   /** The machine is gone, with all that is on it. */
   kill(host: string): void {
     this.workers.get(host)?.die();
-    this.judge.machineGone(this.clock.now(), host);
+    this.checker.machineGone(this.clock.now(), host);
     this.workers.delete(host);
     this.cut.add(host);
   }
@@ -351,9 +351,9 @@
       await this.clock.sleep(500, this.ticking.signal);
       for (const [host, worker] of this.workers) {
         const isReached = ![this.cut, this.deaf, this.mute].some((hosts) => hosts.has(host)) && !worker.hangs;
-        this.judge.machineUsable(host, isReached && worker.warningS === null);
+        this.checker.machineUsable(host, isReached && worker.warningS === null);
       }
-      this.judge.look(this.clock.now());
+      this.checker.look(this.clock.now());
       const names = Array.from({ length: this.options.nodes ?? 1 }, (_, index) => `n${index}`);
       for (const [host, worker] of this.workers) {
         void worker.tell(names, (node, report) => this.report(host, node, report));
@@ -403,7 +403,7 @@
 
   /** A user sends a job; the answer comes as time passes. */
   post(body: unknown, node = 0): Promise<Answer> {
-    this.judge.submitted(body);
+    this.checker.submitted(body);
     const ref = String((body as { Ref?: unknown } | null)?.Ref);
     // Its user uploads it for the workers.
     if (!this.jobs.has(ref)) this.jobs.set(ref, body as Description);
@@ -415,7 +415,7 @@
   }
 
   cancel(ref: string, node = 0): Promise<Answer> {
-    this.judge.cancelAsked(this.clock.now(), ref);
+    this.checker.cancelAsked(this.clock.now(), ref);
     return this.asUser('withdraw', ref, node, ({ jobs }) => jobs.withdraw(ref));
   }
 
@@ -437,7 +437,7 @@
       this.clock.after(patienceMs, () => resolve(none));
       void freezer!.serve(kind, () => call(controller)).then(resolve);
     });
-    this.judge.answered({ kind, ref, askedAt, at: this.clock.now(), status: told.status, body: told.body });
+    this.checker.answered({ kind, ref, askedAt, at: this.clock.now(), status: told.status, body: told.body });
     return told;
   }
 
@@ -479,10 +479,10 @@
     return runs.filter((run, at) => runs.some((other, i) => i < at && (other.to ?? Infinity) > run.from)).length;
   }
 
-  /** Ends the story; tells which rules were broken in it, if any. */
+  /** Ends the scenario; tells which rules were broken in it, if any. */
   verdict(): string[] {
     this.stop();
-    return this.judge.verdict(this.clock.now());
+    return this.checker.verdict(this.clock.now());
   }
 
   stop(): void {
--- a/src/testing/judge.ts
+++ b/src/testing/invariant-checker.ts
@@ -1,5 +1,5 @@
 /**
- * Judges a story by the protocol's rules alone: by what ran on the machines and by what users were told. It knows nothing
+ * Checks a scenario by the protocol's rules alone: by what ran on the machines and by what users were told. It knows nothing
  * of the product's records.
  */
 
@@ -38,7 +38,7 @@
   Reclaimable: boolean;
 }
 
-export interface JudgeOptions {
+export interface InvariantCheckerOptions {
   teams: readonly { name: string; cpus_max?: number; gpus_max?: number }[];
   flavors: readonly Record<string, unknown>[];
   cancelS: number;
@@ -131,7 +131,7 @@
 const refOf = (shard: string) => shard.slice(0, shard.lastIndexOf('/'));
 const indexOf = (shard: string) => Number(shard.slice(shard.lastIndexOf('/') + 1));
 
-export class Judge {
+export class InvariantChecker {
   /** Every rule that was broken, in the order of finding. */
   readonly broken: { rule: Rule; at: number; what: string }[] = [];
   /**
@@ -144,7 +144,7 @@
   private readonly runs = new Set<Run>();
   private calmSince = Infinity;
 
-  constructor(private readonly options: JudgeOptions) {}
+  constructor(private readonly options: InvariantCheckerOptions) {}
 
   /** What was broken, in words; empty if all is well. */
   verdict(at: number): string[] {
--- a/src/testing/drawn.ts
+++ b/src/testing/randomized-scenario.ts
@@ -2,7 +2,7 @@
 import { Random } from '../net/random.js';
 import { Cluster, jobOf } from './cluster.js';
 
-/** ms until the cluster is up, and for which the judge watches after the troubles. */
+/** ms until the cluster is up, and for which the invariant checker watches after the troubles. */
 const READY_MS = 6000;
 const CALM_MS = 100_000;
 /** ms within which all troubles begin. */
@@ -152,7 +152,7 @@
   (kind === 'lateWrites' || kind === 'lateReports' ? LATE_MS : 0) +
   (kind === 'freeze' ? TRAP_MS : 0);
 
-class DrawnStory {
+class RandomizedScenario {
   private readonly cluster = new Cluster({
     nodes: NODES,
     teams: [
@@ -191,7 +191,7 @@
       clock.after(trouble.atMs, () => void this.begin(trouble));
     }
     await cluster.advance(lastMs + 1);
-    cluster.judge.troublesOver(clock.now());
+    cluster.checker.troublesOver(clock.now());
     await cluster.advance(CALM_MS);
     const broken = cluster.verdict();
     return cluster.users.jobs.size > 0 ? broken : [...broken, 'no job was accepted'];
@@ -369,8 +369,8 @@
   }
 }
 
-/** Plays a story and tells which rules were broken in it. */
-export const play = (schedule: Schedule): Promise<string[]> => new DrawnStory(schedule).play();
+/** Plays a scenario and tells which rules were broken in it. */
+export const play = (schedule: Schedule): Promise<string[]> => new RandomizedScenario(schedule).play();
 
 /** The schedule that belongs to a seed. */
 export const scheduleOf = (seed: number): Schedule => fc.sample(schedules, { seed, numRuns: 1 })[0]!;
--- a/test/combined-faults-jobs.test.ts
+++ b/test/combined-faults-jobs.test.ts
@@ -120,7 +120,7 @@
       }
       await cluster.advance(30_000);
       heal();
-      cluster.judge.troublesOver(cluster.clock.now());
+      cluster.checker.troublesOver(cluster.clock.now());
       await cluster.advance(10_000);
       const ends = new Set<string>();
       for (const ref of refs) {
@@ -178,7 +178,7 @@
       for (const host of lost) cluster.cut.delete(host);
       await cluster.advance(5000);
       for (let n = 0; n < 3; n++) await cluster.withdraw(`j-svc${n}`, n);
-      cluster.judge.troublesOver(cluster.clock.now());
+      cluster.checker.troublesOver(cluster.clock.now());
       const refs = [0, 1, 2, 3].map((n) => `j-more${n}`);
       askAll(refs, 100_000);
       await cluster.advance(100_000);
@@ -201,7 +201,7 @@
     await cluster.advance(60_000);
     heal();
     cluster.parted.clear();
-    cluster.judge.troublesOver(cluster.clock.now());
+    cluster.checker.troublesOver(cluster.clock.now());
     askAll(refs, 95_000);
     await cluster.advance(95_000);
     for (const ref of refs) assert.equal(await phase(ref), 'done');
@@ -304,7 +304,7 @@
         cloudBack();
         if ('Site' in fields || 'Spread' in fields) cluster.addWorker({ host: 'i-000020', site, runMs: 9000 });
         await cluster.advance(3000);
-        cluster.judge.troublesOver(cluster.clock.now());
+        cluster.checker.troublesOver(cluster.clock.now());
         askAll([job.Ref], 100_000);
         await cluster.advance(100_000);
         const state = body(await cluster.poll(job.Ref));
@@ -360,7 +360,7 @@
       cluster.store.refused.clear();
       cluster.store.endOutage();
       heal();
-      cluster.judge.troublesOver(cluster.clock.now());
+      cluster.checker.troublesOver(cluster.clock.now());
       await cluster.advance(4000);
       for (const node of [0, 1, 2]) {
         const known = await cluster.during(Promise.all(refs.map((ref) => cluster.ask(ref, node))), 1000);
--- a/test/combined-faults-leaders.test.ts
+++ b/test/combined-faults-leaders.test.ts
@@ -106,7 +106,7 @@
     heal();
     await cluster.advance(5000);
     assert.ok(cluster.cloud.returned.includes(lost!.host));
-    cluster.judge.troublesOver(cluster.clock.now());
+    cluster.checker.troublesOver(cluster.clock.now());
     assert.equal(await phase('j-gang'), 'done');
     assertKept();
   });
@@ -214,7 +214,7 @@
       cluster.start(0);
       cluster.start(2);
       await cluster.advance(40_000);
-      cluster.judge.troublesOver(cluster.clock.now());
+      cluster.checker.troublesOver(cluster.clock.now());
       await cluster.advance(20_000);
       assert.equal(await phase('j-batch', 1), 'done');
       assert.equal(body(await cluster.poll('j-svc', 2)).Phase, 'running');
@@ -304,7 +304,7 @@
     }
     cluster.lateReports = undefined;
     await cluster.advance(30_000);
-    cluster.judge.troublesOver(cluster.clock.now());
+    cluster.checker.troublesOver(cluster.clock.now());
     assert.equal(await phase('j-batch'), 'done');
     assert.equal(await phase('j-gang'), 'done');
     await cluster.withdraw('j-svc', 1);
@@ -342,7 +342,7 @@
         [...worker.tasks].filter(([name, task]) => name.startsWith('j-svc') && task.Phase === 'running'),
       );
       assert.equal(running.length, 4, 'within 20 s, not when the leases are proved over');
-      cluster.judge.troublesOver(cluster.clock.now());
+      cluster.checker.troublesOver(cluster.clock.now());
       await cluster.advance(50_000);
       assert.equal(await phase('j-batch', 1), 'done');
       assert.equal(await phase('j-gang', 2), 'done');
@@ -384,7 +384,7 @@
       }
       heal();
       await cluster.advance(15_000);
-      cluster.judge.troublesOver(cluster.clock.now());
+      cluster.checker.troublesOver(cluster.clock.now());
       await cluster.advance(60_000);
       for (const ref of ['j-batch', 'j-gang', 'j-zone']) assert.equal(await phase(ref, 1), 'done', ref);
       assert.equal(await phase('j-svc', 2), 'running');
@@ -423,7 +423,7 @@
       }
       heal();
       await cluster.advance(15_000);
-      cluster.judge.troublesOver(cluster.clock.now());
+      cluster.checker.troublesOver(cluster.clock.now());
       await cluster.advance(70_000);
       // Some were called off before they were accepted, and so never.
       for (const [ref, { phase }] of cluster.users.jobs) if (phase === 'running') void cluster.users.withdraw(ref);
--- a/test/combined-faults-workers.test.ts
+++ b/test/combined-faults-workers.test.ts
@@ -103,7 +103,7 @@
     const [run] = cluster.runs('j-svc/0');
     // A worker waits 5 s for an answer that does not come before it reports again.
     assert.ok(run!.to! - run!.from < 6500, 'killed by the next answer');
-    assert.equal(cluster.judge.lateStarts.length, 1);
+    assert.equal(cluster.checker.lateStarts.length, 1);
     assert.equal(cluster.runs('j-svc/0').length, 1);
     assert.ok(cluster.store.rows.has('ended/j-svc'));
   });
@@ -181,7 +181,7 @@
   });
 });
 
-const partOf = (name: string) => cluster.node(0).claims.partOf(name);
+const partitionOf = (name: string) => cluster.node(0).claims.partitionOf(name);
 const isPlaced = (ref: string) => JSON.stringify(cluster.store.rows.get(`live/ledger/${ref}/0000`)?.value ?? '');
 /** Lets time pass, a little at a time, until something has come about. */
 async function until(condition: () => boolean, ms = 20_000): Promise<void> {
@@ -198,16 +198,16 @@
     // Its job is placed by another node than the one that answers for the machine.
     const leader = cluster.node(0).claims.ownerOf('leader');
     const hosts = [...cluster.workers.keys()];
-    const host = hosts.find((each) => `n${partOf(each)}` !== leader)!;
+    const host = hosts.find((each) => `n${partitionOf(each)}` !== leader)!;
     const others = hosts.filter((each) => each !== host);
-    const ref = ['j-svc1', 'j-svc2', 'j-svc3', 'j-svc4'].find((each) => partOf(each) !== partOf(host))!;
+    const ref = ['j-svc1', 'j-svc2', 'j-svc3', 'j-svc4'].find((each) => partitionOf(each) !== partitionOf(host))!;
     for (const other of others) cluster.workers.get(other)!.warningS = 1000;
     await cluster.advance(2000);
     await cluster.submit({ ...service, Ref: ref, Rank: 'high' });
     assert.equal(where(`${ref}/0`), host);
     cluster.mute.add(host);
     await cluster.advance(8500);
-    const owner = partOf(host);
+    const owner = partitionOf(host);
     // The proof is recorded, but the answer is lost: the owner tries again later.
     cluster.network.fault({ from: `n${owner}`, to: 'store:1', path: /^\/txn/, kind: 'answerLost', times: 1 });
     await until(() => !isPlaced(ref).includes(host));
@@ -236,9 +236,9 @@
     await ready(3);
     // The part's own node is away, and another one answers for its machines.
     const host = [...cluster.workers.keys()].find(
-      (each) => `n${partOf(each)}` !== cluster.node(0).claims.ownerOf('leader'),
+      (each) => `n${partitionOf(each)}` !== cluster.node(0).claims.ownerOf('leader'),
     )!;
-    const home = partOf(host);
+    const home = partitionOf(host);
     const role = `part-${home}`;
     cluster.crash(home);
     const others = [0, 1, 2].filter((node) => node !== home);
@@ -280,7 +280,7 @@
       const copies = [...cluster.workers.values()].map((worker) => worker.report());
       await cluster.submit(service);
       const host = where('j-svc/0');
-      const owner = partOf(host);
+      const owner = partitionOf(host);
       const copy = copies.find(({ Host }) => Host === host)!;
       cluster.cut.add(host);
       void cluster.cancel('j-svc', owner);
@@ -322,7 +322,7 @@
     await cluster.advance(2000);
     // A new owner hears the copy before the machine itself, which no answer or command reaches for a while.
     cluster.network.fault({ to: 'cloud:1', kind: 'status', status: 503, body: { error: 'trouble' } });
-    const owner = partOf(host);
+    const owner = partitionOf(host);
     cluster.deaf.add(host);
     cluster.mute.add(host);
     void cluster.restart(owner);
@@ -356,7 +356,7 @@
     for (const worker of cluster.workers.values()) worker.warningS = null;
     cluster.mute.clear();
     await cluster.advance(15_000);
-    cluster.judge.troublesOver(cluster.clock.now());
+    cluster.checker.troublesOver(cluster.clock.now());
     await cluster.advance(30_000);
     for (let round = 0; round < 8; round++) {
       assert.equal(phase(await cluster.poll(`j-a${round}`)), 'done');
@@ -380,7 +380,7 @@
     cluster.remember();
     cluster.network.fault({ to: 'cloud:1', kind: 'status', status: 503, body: { error: 'trouble' } });
     const leader = Number(cluster.node(0).claims.ownerOf('leader')!.slice(1));
-    const owner = partOf(hosts[0]!);
+    const owner = partitionOf(hosts[0]!);
     for (const host of hosts) cluster.deaf.add(host);
     for (const node of new Set([leader, owner])) cluster.crash(node);
     await cluster.advance(4000);
@@ -438,7 +438,7 @@
     // The node inside answers for all machines of the zone.
     for (let index = 10; index < 28; index++) {
       const host = `i-0000${index}`;
-      cluster.addWorker({ host, site: ['a', 'b', 'c'][partOf(host)]!, runMs: 20_000 });
+      cluster.addWorker({ host, site: ['a', 'b', 'c'][partitionOf(host)]!, runMs: 20_000 });
     }
     await cluster.advance(6000);
     const refs = [0, 1, 2, 3, 4, 5].map((n) => `j-svc${n}`);
--- a/test/judge.test.ts
+++ b/test/invariant-checker.test.ts
@@ -1,49 +1,56 @@
 import assert from 'node:assert/strict';
 import { beforeEach, describe, it } from 'node:test';
 import { C8, Cluster, jobOf } from '../src/testing/cluster.js';
-import { Judge, type UserAnswer } from '../src/testing/judge.js';
+import { InvariantChecker, type UserAnswer } from '../src/testing/invariant-checker.js';
 
-let judge: Judge;
+let checker: InvariantChecker;
 let now: number;
 beforeEach(() => {
   now = 1000;
-  judge = new Judge({
+  checker = new InvariantChecker({
     teams: [{ name: 'red', cpus_max: 8 }, { name: 'blue' }],
     flavors: [C8, { ...C8, Sku: 'big', Cpus: 64, MemGb: 512 }],
     cancelS: 36,
   });
-  judge.machineUp('i-1', { flavor: 'c8', site: 'a', reclaimable: false });
-  judge.machineUp('i-2', { flavor: 'c8', site: 'b', reclaimable: false });
-  judge.machineUp('i-spot', { flavor: 'big', site: 'a', reclaimable: true });
+  checker.machineUp('i-1', { flavor: 'c8', site: 'a', reclaimable: false });
+  checker.machineUp('i-2', { flavor: 'c8', site: 'b', reclaimable: false });
+  checker.machineUp('i-spot', { flavor: 'big', site: 'a', reclaimable: true });
 });
 
 const ref = 'j-000001';
 const answer = (kind: UserAnswer['kind'], status: number, phase?: string, askedAt = now - 1) =>
-  judge.answered({ kind, ref, askedAt, at: now, status, body: phase === undefined ? {} : { Ref: ref, Phase: phase } });
+  checker.answered({
+    kind,
+    ref,
+    askedAt,
+    at: now,
+    status,
+    body: phase === undefined ? {} : { Ref: ref, Phase: phase },
+  });
 /** A user submits a job and is told that it is accepted. */
 const accept = (fields: object = {}) => {
-  judge.submitted(jobOf(fields));
+  checker.submitted(jobOf(fields));
   answer('submit', 201, 'queued');
   now += 100;
 };
 const cancel = () => {
-  judge.cancelAsked(now - 1, ref);
+  checker.cancelAsked(now - 1, ref);
   answer('withdraw', 200, 'withdrawn');
   now += 100;
 };
 const start = (host: string, shard = 0, orderedAt = now, job = ref) =>
-  judge.taskStarted(now, host, `${job}/${shard}`, orderedAt);
-const end = (host: string, shard = 0, cause = 'done') => judge.taskEnded(now, host, `${ref}/${shard}`, cause);
+  checker.taskStarted(now, host, `${job}/${shard}`, orderedAt);
+const end = (host: string, shard = 0, cause = 'done') => checker.taskEnded(now, host, `${ref}/${shard}`, cause);
 const rules = () => {
-  judge.verdict(now);
-  return judge.broken.map((each) => each.rule);
+  checker.verdict(now);
+  return checker.broken.map((each) => each.rule);
 };
-/** Time passes, and the judge looks every second. */
+/** Time passes, and the checker looks every second. */
 const pass = (s: number) => {
-  for (let n = 0; n < s; n++) judge.look((now += 1000));
+  for (let n = 0; n < s; n++) checker.look((now += 1000));
 };
 
-describe('the judge finds nothing wrong', () => {
+describe('the checker finds nothing wrong', () => {
   it('with a job that runs to its end, and one that is cancelled in time', () => {
     accept({ Shards: 2 });
     start('i-1');
@@ -54,7 +61,7 @@
     end('i-2', 1);
     now += 3000;
     answer('poll', 200, 'done');
-    judge.cancelAsked(now, ref);
+    checker.cancelAsked(now, ref);
     answer('withdraw', 200, 'done');
     assert.deepEqual(rules(), []);
   });
@@ -62,7 +69,7 @@
   it('with a task that begins anew once it has left its machine', () => {
     accept();
     start('i-1');
-    judge.machineGone(now, 'i-1');
+    checker.machineGone(now, 'i-1');
     start('i-2');
     assert.deepEqual(rules(), []);
   });
@@ -78,7 +85,7 @@
   });
 });
 
-describe('the judge catches', () => {
+describe('the checker catches', () => {
   it('ran_twice: a task starts while it is on another machine, or still on the same', () => {
     accept();
     start('i-1');
@@ -91,7 +98,7 @@
 
   it('quota: tasks of all jobs of a team count together', () => {
     accept({ Cpus: 4, Shards: 2 });
-    judge.submitted(jobOf({ Ref: 'j-000002', Cpus: 2 }));
+    checker.submitted(jobOf({ Ref: 'j-000002', Cpus: 2 }));
     start('i-1');
     start('i-2', 1);
     assert.deepEqual(rules(), []);
@@ -102,8 +109,8 @@
   it('wrong_place: type, zone and kind', () => {
     const jobs = [{ Flavors: ['c8'], Reclaimable: true }, { Site: 'b', Reclaimable: true }, { Reclaimable: false }];
     jobs.forEach((fields, n) => {
-      judge.submitted(jobOf({ Ref: `j-${n}`, ...fields }));
-      judge.taskStarted(now, 'i-spot', `j-${n}/0`);
+      checker.submitted(jobOf({ Ref: `j-${n}`, ...fields }));
+      checker.taskStarted(now, 'i-spot', `j-${n}/0`);
     });
     assert.deepEqual(rules(), ['wrong_place', 'wrong_place', 'wrong_place']);
   });
@@ -151,7 +158,7 @@
     cancel();
     start('i-1');
     assert.deepEqual(rules(), ['started_cancelled']);
-    assert.deepEqual(judge.lateStarts, []);
+    assert.deepEqual(checker.lateStarts, []);
   });
 
   it('no rule, but a start to be noted, where the command was on its way; it still has to end in time', () => {
@@ -160,7 +167,7 @@
     cancel();
     start('i-1', 0, sentAt);
     assert.deepEqual(rules(), []);
-    assert.equal(judge.lateStarts.length, 1);
+    assert.equal(checker.lateStarts.length, 1);
     pass(37);
     assert.deepEqual(rules(), ['ran_cancelled']);
   });
@@ -184,7 +191,7 @@
     };
     ask(200);
     assert.deepEqual(rules(), []);
-    judge.troublesOver(now);
+    checker.troublesOver(now);
     ask(70);
     answer('poll', 200, 'running');
     ask(70);
@@ -206,8 +213,8 @@
     end('i-1');
     answer('poll', 200, 'done');
     assert.deepEqual(rules(), ['not_done']);
-    judge.submitted(jobOf({ Ref: 'j-svc', Shape: 'service' }));
-    judge.answered({ kind: 'poll', ref: 'j-svc', askedAt: now, at: now, status: 200, body: { Phase: 'done' } });
+    checker.submitted(jobOf({ Ref: 'j-svc', Shape: 'service' }));
+    checker.answered({ kind: 'poll', ref: 'j-svc', askedAt: now, at: now, status: 200, body: { Phase: 'done' } });
     assert.deepEqual(rules(), ['not_done', 'not_done']);
   });
 
@@ -225,7 +232,7 @@
     accept();
     start('i-1');
     end('i-1');
-    judge.cancelAsked(now, ref);
+    checker.cancelAsked(now, ref);
     const askedAt = now - 50;
     answer('poll', 200, 'done');
     answer('withdraw', 200, 'withdrawn', askedAt);
@@ -255,9 +262,9 @@
       { Shape: 'ensemble', Shards: 5 },
     ];
     never.forEach((fields, n) => {
-      judge.submitted(jobOf({ Ref: `j-${n}`, ...fields }));
+      checker.submitted(jobOf({ Ref: `j-${n}`, ...fields }));
       const told = { kind: 'submit' as const, ref: `j-${n}`, askedAt: now, at: now, status: 201 };
-      judge.answered({ ...told, body: { Phase: 'queued' } });
+      checker.answered({ ...told, body: { Phase: 'queued' } });
       assert.equal(rules().length, n + 1, JSON.stringify(fields));
     });
     assert.ok(rules().every((rule) => rule === 'wrongly_accepted'));
@@ -269,14 +276,14 @@
     const names = Object.keys(jobOf({})).filter((name) => name !== 'Ref');
     for (const name of names) {
       [undefined, null, {}].forEach((value, n) => {
-        judge.submitted(jobOf({ Ref: `j-${name}-${n}`, [name]: value }));
+        checker.submitted(jobOf({ Ref: `j-${name}-${n}`, [name]: value }));
         const told = { kind: 'submit' as const, ref: `j-${name}-${n}`, askedAt: now, at: now, status: 201 };
-        judge.answered({ ...told, body: { Phase: 'queued' } });
+        checker.answered({ ...told, body: { Phase: 'queued' } });
       });
     }
     assert.equal(rules().length, names.length * 3);
     // A repeat of an accepted job gets its state, whatever it looks like.
-    judge.submitted({ Ref: ref });
+    checker.submitted({ Ref: ref });
     answer('submit', 200, 'queued');
     assert.equal(rules().length, names.length * 3);
   });
@@ -285,7 +292,7 @@
     accept();
     pass(200);
     assert.deepEqual(rules(), []);
-    judge.troublesOver(now);
+    checker.troublesOver(now);
     pass(89);
     assert.deepEqual(rules(), []);
     pass(2);
@@ -294,33 +301,33 @@
 
   it('left_waiting only if there is room: free machines that fit and can be reached, under the limit', () => {
     accept({ Cpus: 6 });
-    judge.troublesOver(now);
-    judge.submitted(jobOf({ Ref: 'j-000002', Owner: 'blue', Cpus: 4 }));
-    judge.submitted(jobOf({ Ref: 'j-000003', Cpus: 4 }));
+    checker.troublesOver(now);
+    checker.submitted(jobOf({ Ref: 'j-000002', Owner: 'blue', Cpus: 4 }));
+    checker.submitted(jobOf({ Ref: 'j-000003', Cpus: 4 }));
     start('i-1', 0, now, 'j-000002');
-    judge.machineUsable('i-2', false);
+    checker.machineUsable('i-2', false);
     pass(100);
-    judge.machineUsable('i-2', true);
+    checker.machineUsable('i-2', true);
     start('i-1', 0, now, 'j-000003');
     pass(100);
     assert.deepEqual(rules(), [], 'first there was no machine, then the team was at its limit');
-    judge.taskEnded(now, 'i-1', 'j-000003/0', 'done');
+    checker.taskEnded(now, 'i-1', 'j-000003/0', 'done');
     pass(91);
     assert.deepEqual(rules(), ['left_waiting']);
   });
 
   it('left_waiting of a gang only if there is room for all of it, in its zones', () => {
     accept({ Owner: 'blue', Shape: 'ensemble', Shards: 8, Cpus: 2, OneZone: true });
-    judge.troublesOver(now);
+    checker.troublesOver(now);
     pass(100);
     assert.deepEqual(rules(), [], 'four fit in each zone');
-    judge.machineUp('i-3', { flavor: 'c8', site: 'b', reclaimable: false });
+    checker.machineUp('i-3', { flavor: 'c8', site: 'b', reclaimable: false });
     pass(91);
     assert.deepEqual(rules(), ['left_waiting']);
   });
 });
 
-describe('a cluster feeds its judge', () => {
+describe('a cluster feeds its checker', () => {
   it('with what its workers really run, whoever told them to, and with what its users were really told', async () => {
     const cluster = new Cluster();
     const first = cluster.addWorker({ host: 'i-1' });
@@ -332,13 +339,13 @@
     const orders = [{ Verb: 'launch', Shard: 'j-svc/0', Try: 9 }];
     await other.handle('POST', '/commands', { Fence: other.fence, Tenure: 1, Orders: orders });
     assert.deepEqual(
-      cluster.judge.broken.map((each) => each.rule),
+      cluster.checker.broken.map((each) => each.rule),
       ['ran_twice'],
     );
     await cluster.withdraw('j-svc');
     await other.handle('POST', '/commands', { Fence: other.fence, Tenure: 1, Orders: [{ ...orders[0], Try: 10 }] });
     assert.deepEqual(
-      cluster.judge.broken.map((each) => each.rule),
+      cluster.checker.broken.map((each) => each.rule),
       ['ran_twice', 'started_cancelled'],
     );
     assert.equal(cluster.verdict().length, 2);
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -29,7 +29,7 @@
     const fleet = { all: () => (looks++, new Map()), isOpen: () => true };
     const rescheduler = new Rescheduler(
       DEFAULT_TUNING,
-      { inTouch: true, ownedParts: () => [0], partOf: () => 0 } as unknown as Claims,
+      { inTouch: true, ownedPartitions: () => [0], partitionOf: () => 0 } as unknown as Claims,
       { jobs, placesOn: () => [] } as unknown as Book,
       fleet as unknown as Fleet,
       {} as Planner,
--- a/test/randomized.test.ts
+++ b/test/randomized.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { largeScheduleOf, play, scheduleOf, type Schedule } from '../src/testing/drawn.js';
+import { largeScheduleOf, play, scheduleOf, type Schedule } from '../src/testing/randomized-scenario.js';
 
-/** A few of the randomized scenarios that `npm run drawn` runs by the hundred. */
+/** A few of the randomized scenarios that `npm run randomized` runs by the hundred. */
 const SEEDS = [1, 9, 12, 22];
 /** In these a task ran on two machines as long as knowledge of workers could be lost before the claim that vouched for it. */
 const SEEDS_OF_LARGE = [4, 119, 128];
--- a/test/single-execution.test.ts
+++ b/test/single-execution.test.ts
@@ -21,7 +21,7 @@
  */
 const longJob = (n: number) => ({ Ref: `j-svc-${n}`, Shards: 1, Cpus: 3, OneZone: true });
 
-const partOf = (host: string) => cluster.node(0).claims.partOf(host);
+const partitionOf = (host: string) => cluster.node(0).claims.partitionOf(host);
 const ownerOf = (role: string) => Number(cluster.node(0).claims.ownerOf(role)!.slice(1));
 
 const reportsTo = (address: string, host: string) =>
@@ -59,8 +59,8 @@
 async function tasksOnOnePartition(): Promise<{ role: string; hosts: string[]; owner: number }> {
   await settled(9, { nodes: 3, teams: [{ name: 'red' }] });
   for (let n = 0; n < 9; n++) await cluster.submit(longJob(n), n % 3);
-  const hosts = [...cluster.workers.keys()].filter((host) => partOf(host) === partOf('i-000000'));
-  const role = `part-${partOf('i-000000')}`;
+  const hosts = [...cluster.workers.keys()].filter((host) => partitionOf(host) === partitionOf('i-000000'));
+  const role = `part-${partitionOf('i-000000')}`;
   return { role, hosts, owner: ownerOf(role) };
 }
 
@@ -117,7 +117,7 @@
   it('gives no worker the answer that its former life asked for another one', async () => {
     cluster = new Cluster({ nodes: 2 });
     const hosts = Array.from({ length: 12 }, (_, index) => `i-0000${String(index).padStart(2, '0')}`)
-      .filter((host) => partOf(host) === 0)
+      .filter((host) => partitionOf(host) === 0)
       .slice(0, 2);
     const [first, second] = hosts as [string, string];
     for (const host of hosts) cluster.addWorker({ host });
--- a/test/worker-registry.test.ts
+++ b/test/worker-registry.test.ts
@@ -11,7 +11,7 @@
 /** A registry over one partition, whose acquisition tests replace. */
 function registryOver(acquisition: Acquisition) {
   const owned: { acquisition: Acquisition | undefined } = { acquisition };
-  const claims = { parts: 1, partOf: () => 0, acquisition: () => owned.acquisition } as unknown as Claims;
+  const claims = { partitionCount: 1, partitionOf: () => 0, acquisition: () => owned.acquisition } as unknown as Claims;
   return { owned, registry: new WorkerRegistry(claims, SETTINGS) };
 }
 
