--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -1,12 +1,9 @@
 import { setMaxListeners } from 'node:events';
 import type { Answer } from '../api/jobs.js';
-import { parseSettings, type Settings, type Tuning } from '../config/settings.js';
 import { DEFAULT_TUNING } from '../constants.js';
 import { Controller } from '../controller/controller.js';
-import type { Log } from '../controller/log.js';
 import { decodeMessage, encodeMessage, type Message } from '../mesh/messages.js';
-import type { Clock } from '../net/clock.js';
-import { NoAnswer, type HttpClient, type Reply } from '../net/http-client.js';
+import { NoAnswer, type Reply } from '../net/http-client.js';
 import { Random } from '../net/random.js';
 import { FakeClock } from './fake-clock.js';
 import { FakeCloud } from './fake-cloud.js';
@@ -14,6 +11,8 @@
 import { FakeNetwork, type Fault } from './fake-network.js';
 import { FakeStore } from './fake-store.js';
 import { FakeUsers } from './fake-users.js';
+import { C8, jobOf, noLog, settingsOf, type ClusterOptions } from './fixtures.js';
+import { Freezer, type Trap } from './freezer.js';
 import { ANSWER_MS, FakeWorker, type Description, type Room, type WorkerOptions } from './fake-worker.js';
 import { InvariantChecker, type UserAnswer } from './invariant-checker.js';
 
@@ -21,142 +20,15 @@
 const POLL_PATIENCE_MS = 2000;
 const REQUEST_PATIENCE_MS = 5000;
 
-export const noLog: Log = {
-  error: () => undefined,
-  warn: () => undefined,
-  info: () => undefined,
-  debug: () => undefined,
-};
-
-export interface ClusterOptions {
-  nodes?: number;
-  teams?: object[];
-  cluster?: object;
-  tuning?: Partial<Tuning>;
-  flavors?: Record<string, unknown>[];
-  /** Rented machines are up after so many ms; without it they never are. */
-  bootMs?: number;
-  /** How long tasks run on rented machines. */
-  runMs?: number;
-}
-
 interface Node {
   controller: Controller;
   stop: AbortController;
   freezer: Freezer;
 }
 
-export const C8 = {
-  Sku: 'c8',
-  Cpus: 8,
-  Cards: 0,
-  MemGb: 64,
-  LocalGb: 50,
-  FetchGbPerS: 1,
-  Hourly: 1,
-  LowPrice: 0.3,
-  BootS: 30,
-  Sites: ['a', 'b', 'c'],
-};
-
-export function settingsOf(node: number, nodes: number, options: ClusterOptions = {}): Settings {
-  const all = Array.from({ length: nodes }, (_, index) => index);
-  return parseSettings(
-    JSON.stringify({
-      node: `n${node}`,
-      location: 'a',
-      bind: `n${node}:8080`,
-      mesh_addr: `n${node}:8081`,
-      peers: all.filter((each) => each !== node).map((each) => ({ node: `n${each}`, address: `n${each}:8081` })),
-      outside: { cloud: 'cloud:1', state: 'store:1' },
-      cluster: {
-        size: nodes,
-        zones: ['a', 'b', 'c'],
-        teams: options.teams ?? [{ name: 'red', cpus: 16, cpus_max: 48 }],
-        workers: { report_s: 1, lease_s: 10, gang_wait_s: 30, gang_peer_s: 4, cancel_s: 36 },
-        state: { rps: 500, write_rps: 200, value_kb: 4, txn_ops: 12 },
-        cloud: { rps: 8, list_lag_s: 2 },
-        ...options.cluster,
-      },
-    }),
-    'test',
-  );
-}
-
 /** Room of machines of a type that the cloud does not list. */
 const ANY_ROOM: Room = { Cpus: Infinity, Cards: Infinity, MemGb: Infinity };
 
-/** When and for how long a node stands still. */
-export interface Trap {
-  /** Of a request that it sends or answers; for users: submit, poll or withdraw. */
-  path: RegExp;
-  /** Before it sends a request, before it takes in the answer, or before its own answer goes out. */
-  when: 'sending' | 'answered' | 'answering';
-  forMs: number;
-}
-
-/** Stands between a controller and the rest, so that it can stand still in the middle of anything. */
-class Freezer {
-  readonly traps = new Set<Trap>();
-  /** The clock as the controller sees it: no wait of a frozen process ends. */
-  readonly thawed: Clock;
-  private until = -Infinity;
-
-  constructor(private readonly clock: FakeClock) {
-    this.thawed = {
-      now: () => clock.now(),
-      wall: () => clock.wall(),
-      sleep: async (ms, signal) => {
-        await clock.sleep(ms, signal);
-        if (this.isFrozen) await this.pass();
-      },
-    };
-  }
-
-  get isFrozen(): boolean {
-    return this.clock.now() < this.until;
-  }
-
-  freeze(forMs: number): void {
-    this.until = this.clock.now() + forMs;
-  }
-
-  async pass(): Promise<void> {
-    while (this.isFrozen) await this.clock.sleep(this.until - this.clock.now());
-  }
-
-  private async pause(when: Trap['when'], path: string): Promise<void> {
-    const trap = [...this.traps].find((each) => each.when === when && each.path.test(path));
-    if (trap !== undefined) this.freeze(trap.forMs);
-    this.traps.delete(trap!);
-    await this.pass();
-  }
-
-  /** Requests of a process that has ended are never sent, and answers to it never heard. */
-  client(client: HttpClient, ended: AbortSignal): HttpClient {
-    const never = new Promise<Reply>(() => undefined);
-    return {
-      call: async (address, method, path, body, options) => {
-        await this.pause('sending', path);
-        if (ended.aborted) return never;
-        try {
-          return await client.call(address, method, path, body, options);
-        } finally {
-          await this.pause('answered', path);
-          if (ended.aborted) await never;
-        }
-      },
-    };
-  }
-
-  async serve<T>(path: string, answer: () => Promise<T> | T): Promise<T> {
-    await this.pass();
-    const reply = await answer();
-    await this.pause('answering', path);
-    return reply;
-  }
-}
-
 /** Whole controllers in one process, on a network, a clock, a store, a cloud and workers that tests command. */
 export class Cluster {
   readonly clock = new FakeClock();
@@ -490,24 +362,3 @@
     for (const { stop } of this.nodes.values()) stop.abort();
   }
 }
-
-export const jobOf = (fields: object): object => ({
-  Ref: 'j-000001',
-  Jobclass: 'web',
-  Owner: 'red',
-  Shape: 'array',
-  Rank: 'normal',
-  Shards: 1,
-  Cpus: 2,
-  Cards: 0,
-  MemGb: 4,
-  Bundle: 'img-1',
-  SizeGb: 1,
-  OneZone: false,
-  Spread: false,
-  Reclaimable: false,
-  GuessS: 10,
-  SnapshotEveryS: 0,
-  SnapshotS: 0,
-  ...fields,
-});
--- /dev/null
+++ b/src/testing/fixtures.ts
@@ -0,0 +1,84 @@
+/** Settings, jobs and machine types that scenarios start from. */
+import { parseSettings, type Settings, type Tuning } from '../config/settings.js';
+import type { Log } from '../controller/log.js';
+
+export const noLog: Log = {
+  error: () => undefined,
+  warn: () => undefined,
+  info: () => undefined,
+  debug: () => undefined,
+};
+
+/** What a scenario's cluster is made of. */
+export interface ClusterOptions {
+  nodes?: number;
+  teams?: object[];
+  cluster?: object;
+  tuning?: Partial<Tuning>;
+  flavors?: Record<string, unknown>[];
+  /** Rented machines are up after so many ms; without it they never are. */
+  bootMs?: number;
+  /** How long tasks run on rented machines. */
+  runMs?: number;
+}
+
+/** A machine type of eight CPUs. */
+export const C8 = {
+  Sku: 'c8',
+  Cpus: 8,
+  Cards: 0,
+  MemGb: 64,
+  LocalGb: 50,
+  FetchGbPerS: 1,
+  Hourly: 1,
+  LowPrice: 0.3,
+  BootS: 30,
+  Sites: ['a', 'b', 'c'],
+};
+
+/** The settings of one of the controllers. */
+export function settingsOf(node: number, nodes: number, options: ClusterOptions = {}): Settings {
+  const all = Array.from({ length: nodes }, (_, index) => index);
+  return parseSettings(
+    JSON.stringify({
+      node: `n${node}`,
+      location: 'a',
+      bind: `n${node}:8080`,
+      mesh_addr: `n${node}:8081`,
+      peers: all.filter((each) => each !== node).map((each) => ({ node: `n${each}`, address: `n${each}:8081` })),
+      outside: { cloud: 'cloud:1', state: 'store:1' },
+      cluster: {
+        size: nodes,
+        zones: ['a', 'b', 'c'],
+        teams: options.teams ?? [{ name: 'red', cpus: 16, cpus_max: 48 }],
+        workers: { report_s: 1, lease_s: 10, gang_wait_s: 30, gang_peer_s: 4, cancel_s: 36 },
+        state: { rps: 500, write_rps: 200, value_kb: 4, txn_ops: 12 },
+        cloud: { rps: 8, list_lag_s: 2 },
+        ...options.cluster,
+      },
+    }),
+    'test',
+  );
+}
+
+/** A submission, complete but for the fields that a scenario cares for. */
+export const jobOf = (fields: object): object => ({
+  Ref: 'j-000001',
+  Jobclass: 'web',
+  Owner: 'red',
+  Shape: 'array',
+  Rank: 'normal',
+  Shards: 1,
+  Cpus: 2,
+  Cards: 0,
+  MemGb: 4,
+  Bundle: 'img-1',
+  SizeGb: 1,
+  OneZone: false,
+  Spread: false,
+  Reclaimable: false,
+  GuessS: 10,
+  SnapshotEveryS: 0,
+  SnapshotS: 0,
+  ...fields,
+});
--- a/src/testing/randomized-scenario.ts
+++ b/src/testing/randomized-scenario.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import { Random } from '../net/random.js';
-import { Cluster, jobOf } from './cluster.js';
+import { Cluster } from './cluster.js';
+import { jobOf } from './fixtures.js';
 
 /** ms until the cluster is up, and for which the invariant checker watches after the troubles. */
 const READY_MS = 6000;
--- a/test/api-server.test.ts
+++ b/test/api-server.test.ts
@@ -6,7 +6,7 @@
 import type { Handlers } from '../src/api/routes.js';
 import { ApiServer } from '../src/api/server.js';
 import { MAX_BODY_BYTES, MAX_OPEN_REQUESTS } from '../src/constants.js';
-import { noLog } from '../src/testing/cluster.js';
+import { noLog } from '../src/testing/fixtures.js';
 
 function connect(handlers: Partial<Handlers>): { open: () => Duplex; openBoth: () => [Duplex, Duplex] } {
   const unexpected = () => assert.fail('not asked for');
--- a/test/client.test.ts
+++ b/test/client.test.ts
@@ -11,7 +11,7 @@
   LEAST_TRANSACTION_WRITES,
   LEAST_VALUE_KB,
 } from '../src/constants.js';
-import { settingsOf } from '../src/testing/cluster.js';
+import { settingsOf } from '../src/testing/fixtures.js';
 import { NoAnswer, type HttpClient, type Reply } from '../src/net/http-client.js';
 import { Random } from '../src/net/random.js';
 import { Priority } from '../src/net/token-bucket.js';
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
-import { C8, Cluster, type ClusterOptions } from '../src/testing/cluster.js';
+import { Cluster } from '../src/testing/cluster.js';
+import { C8, type ClusterOptions } from '../src/testing/fixtures.js';
 
 let cluster: Cluster;
 afterEach(() => assert.deepEqual(cluster.verdict(), []));
--- a/test/combined-faults-workers.test.ts
+++ b/test/combined-faults-workers.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
-import { Cluster, jobOf, type ClusterOptions } from '../src/testing/cluster.js';
+import { Cluster } from '../src/testing/cluster.js';
+import { jobOf, type ClusterOptions } from '../src/testing/fixtures.js';
 
 let cluster: Cluster;
 /** Every scenario ends with the verdict of the invariant checker. */
--- a/test/exit-recorder.test.ts
+++ b/test/exit-recorder.test.ts
@@ -4,7 +4,7 @@
 import type { Place } from '../src/ledger/book.js';
 import { chunkKey, jobKey, type JobSpec } from '../src/ledger/records.js';
 import { Draft, type Decide } from '../src/state/committer.js';
-import { jobOf, noLog } from '../src/testing/cluster.js';
+import { jobOf, noLog } from '../src/testing/fixtures.js';
 import { FakeClock } from '../src/testing/fake-clock.js';
 import { findProof, type Desired } from '../src/workers/reconcile.js';
 import { decodeReport, type Report } from '../src/workers/report.js';
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -9,7 +9,8 @@
 import { Committer, type Draft } from '../src/state/committer.js';
 import { Replica } from '../src/state/replica.js';
 import { jsonLength } from '../src/state/sizes.js';
-import { Cluster, jobOf } from '../src/testing/cluster.js';
+import { Cluster } from '../src/testing/cluster.js';
+import { jobOf } from '../src/testing/fixtures.js';
 import { FakeClock } from '../src/testing/fake-clock.js';
 
 let cluster: Cluster | undefined;
--- a/test/invariant-checker.test.ts
+++ b/test/invariant-checker.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { beforeEach, describe, it } from 'node:test';
-import { C8, Cluster, jobOf } from '../src/testing/cluster.js';
+import { Cluster } from '../src/testing/cluster.js';
+import { C8, jobOf } from '../src/testing/fixtures.js';
 import { InvariantChecker, type UserAnswer } from '../src/testing/invariant-checker.js';
 
 let checker: InvariantChecker;
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -9,7 +9,7 @@
 import { Random } from '../src/net/random.js';
 import { Happiness } from '../src/placement/happiness.js';
 import type { Committer } from '../src/state/committer.js';
-import { noLog } from '../src/testing/cluster.js';
+import { noLog } from '../src/testing/fixtures.js';
 import { FakeClock } from '../src/testing/fake-clock.js';
 
 describe('a node short of processor time', () => {
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
-import { Cluster, jobOf } from '../src/testing/cluster.js';
+import { Cluster } from '../src/testing/cluster.js';
+import { jobOf } from '../src/testing/fixtures.js';
 import { decodeReport } from '../src/workers/report.js';
 import { Worker } from '../src/workers/worker.js';
 
