News of a withdrawal go out before its user is answered, not with the next ten milliseconds' changes

Cause: an owner placed a task, the job was cancelled at another node and its user told, and the launch went out before the news: a start 3 to 9 ms after a confirmed cancellation (randomized scenarios: large 197 and 361, smaller 5039 and 5185, on the sources as found too). Lost news leave the window open, as docs/combined-faults.md says.

--- a/src/controller/record-broadcast.ts
+++ b/src/controller/record-broadcast.ts
@@ -1,6 +1,6 @@
 /** Tells the peers which records this node's transactions have changed, and takes in what theirs have changed. */
 import { NEWS_GATHER_MS } from '../constants.js';
-import { LIVE } from '../ledger/records.js';
+import { isWithdrawal, LIVE } from '../ledger/records.js';
 import type { Message, News } from '../mesh/messages.js';
 import type { Clock } from '../net/clock.js';
 import type { Change } from '../state/client.js';
@@ -23,17 +23,23 @@
 
   constructor(private readonly dependencies: RecordBroadcastDependencies) {}
 
-  /** Collects changes for a moment, and tells the peers of them together. */
+  /**
+   * Collects changes for a moment, and tells the peers of them together. A withdrawal goes out at once, before its user is
+   * answered: until its owner hears of it, a task that was placed just before may still be launched.
+   */
   announce(changes: readonly Change[]): void {
     const { peers, clock } = this.dependencies;
     if (peers.length === 0 || changes.length === 0) return;
     const isScheduled = this.pending.length > 0;
     this.pending.push(...changes);
-    if (!isScheduled) void clock.sleep(NEWS_GATHER_MS).then(() => this.flush());
+    if (changes.some(({ key, value }) => isWithdrawal(key, value))) this.flush();
+    else if (!isScheduled) void clock.sleep(NEWS_GATHER_MS).then(() => this.flush());
   }
 
   private flush(): void {
     const { peers, send } = this.dependencies;
+    // What was collected has gone along with a withdrawal.
+    if (this.pending.length === 0) return;
     const message: Message = { news: { changes: this.pending.splice(0).map(encodeChange) } };
     for (const peer of peers) send(peer, message);
   }
--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -51,6 +51,10 @@
   chunk: number;
 }
 
+/** Does a record, as it is written, call its job off? */
+export const isWithdrawal = (key: string, value: unknown): boolean =>
+  key.startsWith(jobKey('')) && (value as JobRecord | undefined)?.phase === 'withdrawn';
+
 export interface EndedRecord {
   phase: 'done' | 'withdrawn';
   shards: number;
--- a/test/randomized.test.ts
+++ b/test/randomized.test.ts
@@ -2,10 +2,13 @@
 import { describe, it } from 'node:test';
 import { largeScheduleOf, play, scheduleOf, type Schedule } from '../src/testing/randomized-scenario.js';
 
-/** A few of the randomized scenarios that `npm run randomized` runs by the hundred. */
-const SEEDS = [1, 9, 12, 22];
-/** In these a task ran on two machines as long as knowledge of workers could be lost before the claim that vouched for it. */
-const SEEDS_OF_LARGE = [4, 119, 128];
+/**
+ * A few of the randomized scenarios that `npm run randomized` runs by the hundred. In 5039, and in 197 of the large ones, tasks started
+ * some milliseconds after their cancellation was confirmed, while the news of it waited for others.
+ */
+const SEEDS = [1, 9, 12, 22, 5039];
+/** In the others of these a task ran on two machines as long as knowledge of workers could be lost before the claim that vouched for it. */
+const SEEDS_OF_LARGE = [4, 119, 128, 197];
 
 describe('a scenario with random faults', () => {
   it('breaks no rule where cancellations meet a refusal, cuts and an outage (it does if the hold-over has no end)', async () => {
