--- a/src/testing/play-randomized.ts
+++ b/src/testing/play-randomized.ts
@@ -2,7 +2,8 @@
  * Plays randomized scenarios: `npm run randomized -- COUNT [FIRST [large]]` the seeds FIRST to FIRST + COUNT - 1, with `large` those
  * of tens of machines; `npm run randomized -- SCHEDULE` one schedule, as it was printed.
  */
-import { largeScheduleOf, play, scheduleOf, type Schedule } from './randomized-scenario.js';
+import { largeScheduleOf, scheduleOf, type Schedule } from './random-schedule.js';
+import { play } from './randomized-scenario.js';
 
 const [what = '20', first = '1', size] = process.argv.slice(2);
 const draw = size === 'large' ? largeScheduleOf : scheduleOf;
