--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,6 +12,26 @@
       '@typescript-eslint/require-await': 'off',
     },
   },
+  {
+    // One step a line, in functions and files that a reader takes in at a time.
+    files: ['src/**', 'test/**'],
+    rules: {
+      'no-cond-assign': ['error', 'always'],
+      'no-multi-assign': 'error',
+      'no-param-reassign': 'error',
+      'no-return-assign': 'error',
+      'no-sequences': 'error',
+      complexity: ['error', 25],
+      'max-depth': ['error', 5],
+      'max-lines': ['error', 450],
+    },
+  },
+  { files: ['src/**'], rules: { 'max-lines-per-function': ['error', { max: 80, skipComments: true }] } },
+  // One list of constants, each with its unit and reason; and one place where all duties of a controller are joined.
+  { files: ['src/constants.ts'], rules: { 'max-lines': 'off' } },
+  { files: ['src/controller/controller.ts'], rules: { 'max-lines-per-function': 'off' } },
+  // Scenarios are told one after the other, a file for each kind of fault.
+  { files: ['test/**'], rules: { 'max-lines': ['error', 500] } },
   { files: ['*.js', 'build/*'], ...tseslint.configs.disableTypeChecked },
   {
     files: ['build/*.cjs'],
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -189,7 +189,11 @@
     const committer = new Committer(client, new Replica(client, 'live/', clock), limits, 'live/', clock, new Random(1));
     for (let n = 0; n < 600; n++) {
       const key = `live/ledger/${n % 30}`;
-      const decide = (draft: Draft) => (draft.set(key, { n }), draft.set(`live/team/${n % 3}`, { n }), true);
+      const decide = (draft: Draft) => {
+        draft.set(key, { n });
+        draft.set(`live/team/${n % 3}`, { n });
+        return true;
+      };
       void committer.commit('free', Priority.record, decide, 60_000, { key, shared: `team/${n % 3}` });
     }
     await clock.advance(20_000);
@@ -247,7 +251,10 @@
     const { fleet } = cluster!.node(0);
     let looks = 0;
     const isSilent = fleet.isSilent.bind(fleet);
-    fleet.isSilent = (each) => (looks++, isSilent(each));
+    fleet.isSilent = (each) => {
+      looks++;
+      return isSilent(each);
+    };
     await cluster!.advance(2000);
     assert.ok(looks / 2 < 900 * 4, `${looks / 2} looks a second`);
   });
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -26,7 +26,11 @@
     let looks = 0;
     const record = { spec: { Shape: 'service', Shards: 5 }, phase: 'active' };
     const jobs = { values: () => [{ record, placed }] };
-    const fleet = { all: () => (looks++, new Map()), isOpen: () => true };
+    const all = () => {
+      looks++;
+      return new Map();
+    };
+    const fleet = { all, isOpen: () => true };
     const rescheduler = new Rescheduler(
       DEFAULT_TUNING,
       { inTouch: true, ownedPartitions: () => [0], partitionOf: () => 0 } as unknown as Claims,
--- a/test/standins.test.ts
+++ b/test/standins.test.ts
@@ -113,7 +113,10 @@
     cluster.lateReports = { share: 0.5, lateMs: [2000, 25_000] };
     const controller = cluster.node(0);
     const hello = controller.hello.bind(controller);
-    controller.hello = (body) => (heard.push(body as { Tenure: number; Tick: number }), hello(body));
+    controller.hello = (body) => {
+      heard.push(body as { Tenure: number; Tick: number });
+      return hello(body);
+    };
     await cluster.advance(3000);
     cluster.network.fault({ to: 'cloud:1', kind: 'status', status: 503 });
     cluster.unreachable.add('i-0>n0');
