--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -230,11 +230,14 @@
   }
 
   private carryOut(worker: Worker, role: string, plan: Plan): void {
-    for (const free of plan.frees)
-      this.exits.record(worker.host, role, free, () => this.proofNow(worker.host, role, free.place));
+    for (const free of plan.frees) this.release(worker.host, role, free);
     if (plan.needsRaise) this.raise(role);
   }
 
+  private release(host: string, role: string, free: Free): void {
+    this.exits.record(host, role, free, () => this.proofNow(host, role, free.place));
+  }
+
   /** Raising costs a change and a report of every worker, so it is done rarely. */
   private raise(role: string): void {
     const now = this.clock.now();
@@ -333,8 +336,7 @@
       const held = this.claims.holding(role);
       if (held === undefined || !this.isLeaseOver(host, held)) continue;
       for (const place of [...this.book.placesOn(host)]) {
-        const free: Free = { place, proof: leaseProof(place), ending: 'lost', task: undefined };
-        this.exits.record(host, role, free, () => this.proofNow(host, role, place));
+        this.release(host, role, { place, proof: leaseProof(place), ending: 'lost', task: undefined });
       }
     }
   }
--- a/src/controller/worker-registry.ts
+++ b/src/controller/worker-registry.ts
@@ -39,13 +39,13 @@
   }
 
   ofPartition(partition: number): Iterable<Worker> {
-    return this.knowledgeOf(this.claims.acquisition(partitionRole(partition)))?.workers.values() ?? [];
+    return this.knowledgeOfPartition(partition)?.workers.values() ?? [];
   }
 
   get size(): number {
     let size = 0;
     for (let partition = 0; partition < this.claims.partitionCount; partition++) {
-      size += this.knowledgeOf(this.claims.acquisition(partitionRole(partition)))?.workers.size ?? 0;
+      size += this.knowledgeOfPartition(partition)?.workers.size ?? 0;
     }
     return size;
   }
@@ -88,7 +88,11 @@
   }
 
   private knowledgeFor(host: string): PartitionKnowledge | undefined {
-    return this.knowledgeOf(this.claims.acquisition(partitionRole(this.claims.partitionOf(host))));
+    return this.knowledgeOfPartition(this.claims.partitionOf(host));
+  }
+
+  private knowledgeOfPartition(partition: number): PartitionKnowledge | undefined {
+    return this.knowledgeOf(this.claims.acquisition(partitionRole(partition)));
   }
 
   private knowledgeOf(acquisition: Acquisition | undefined): PartitionKnowledge | undefined {
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -19,6 +19,8 @@
 /** ms that users wait for an answer. */
 const POLL_PATIENCE_MS = 2000;
 const REQUEST_PATIENCE_MS = 5000;
+/** ms between two looks at whether something has come about. */
+const UNTIL_STEP_MS = 5;
 
 interface Node {
   controller: Controller;
@@ -340,6 +342,14 @@
     return this.seen;
   }
 
+  /** Lets time pass, a little at a time, until something has come about. */
+  async until(condition: () => boolean, withinMs: number): Promise<void> {
+    for (let waited = 0; !condition(); waited += UNTIL_STEP_MS) {
+      if (waited >= withinMs) throw new Error('it does not come about');
+      await this.advance(UNTIL_STEP_MS);
+    }
+  }
+
   /** Remembers machines that are about to go, for `runs`. */
   remember(): void {
     void this.everyWorker;
--- a/src/testing/fault-injector.ts
+++ b/src/testing/fault-injector.ts
@@ -1,7 +1,7 @@
 /** Brings the troubles of a random schedule about, and ends them. */
 import type { Cluster } from './cluster.js';
 import type { Fault } from './fake-network.js';
-import { NODES, type Trouble, type TroubleKind } from './random-schedule.js';
+import { NODES, SITES, type Trouble, type TroubleKind } from './random-schedule.js';
 
 /** The most that a message is late, ms: well over a lease. */
 const LATE_MS = 25_000;
@@ -168,7 +168,7 @@
 
   private zoneCut({ node = 0, forMs }: Trouble): Promise<void> {
     const { workers, network } = this.cluster;
-    const zone = ['a', 'b', 'c'][node]!;
+    const zone = SITES[node]!;
     const inside = [...workers].filter(([, worker]) => worker.options.site === zone);
     return this.during(forMs, network.split([nameOf(node), ...inside.map(([host]) => host)]));
   }
--- a/src/testing/randomized-scenario.ts
+++ b/src/testing/randomized-scenario.ts
@@ -3,12 +3,11 @@
 import { Cluster } from './cluster.js';
 import { FaultInjector, lastsMs } from './fault-injector.js';
 import { jobOf } from './fixtures.js';
-import { MACHINES, NODES, SPELL_MS, type Schedule } from './random-schedule.js';
+import { MACHINES, NODES, SITES, SPELL_MS, type Schedule } from './random-schedule.js';
 
 /** ms until the cluster is up, and for which the invariant checker watches after the troubles. */
 const READY_MS = 6000;
 const CALM_MS = 100_000;
-const SITES = ['a', 'b', 'c'];
 /** How long tasks run on a machine: they end while the troubles last, or only when a cancellation must have stopped them. */
 const RUNS_MS = [4000, 12_000, 60_000];
 
--- a/test/combined-faults-workers.test.ts
+++ b/test/combined-faults-workers.test.ts
@@ -184,13 +184,7 @@
 
 const partitionOf = (name: string) => cluster.node(0).claims.partitionOf(name);
 const isPlaced = (ref: string) => JSON.stringify(cluster.store.rows.get(`live/ledger/${ref}/0000`)?.value ?? '');
-/** Lets time pass, a little at a time, until something has come about. */
-async function until(condition: () => boolean, ms = 20_000): Promise<void> {
-  for (let waited = 0; !condition(); waited += 5) {
-    assert.ok(waited < ms, 'it does not come about');
-    await cluster.advance(5);
-  }
-}
+const until = (condition: () => boolean, ms = 20_000) => cluster.until(condition, ms);
 
 describe('a machine that is back just when its lease is proved over', () => {
   it('keeps what it was given anew, though the proof is recorded twice', async () => {
--- a/test/single-execution.test.ts
+++ b/test/single-execution.test.ts
@@ -28,13 +28,7 @@
 const reportsTo = (address: string, host: string) =>
   cluster.network.log.filter(({ from, to }) => from === host && to === address).length;
 
-/** Lets time pass, a little at a time, until something has come about. */
-async function until(condition: () => boolean, ms = 10_000): Promise<void> {
-  for (let waited = 0; !condition(); waited += 5) {
-    assert.ok(waited < ms, 'it does not come about');
-    await cluster.advance(5);
-  }
-}
+const until = (condition: () => boolean, ms = 10_000) => cluster.until(condition, ms);
 
 /** Starts a cluster whose controllers have held their partitions for long. No machine can be returned to the cloud. */
 async function settled(machines: number, options: ClusterOptions = { nodes: 3 }): Promise<void> {
