--- a/eslint.config.js
+++ b/eslint.config.js
@@ -32,7 +32,8 @@
   { files: ['src/controller/controller.ts'], rules: { 'max-lines-per-function': 'off' } },
   // Scenarios are told one after the other, a file for each kind of fault.
   { files: ['test/**'], rules: { 'max-lines': ['error', 500] } },
-  { files: ['*.js', 'build/*'], ...tseslint.configs.disableTypeChecked },
+  { files: ['*.js', 'build/*', 'test/**/*.mjs'], ...tseslint.configs.disableTypeChecked },
+  { files: ['test/**/*.mjs'], languageOptions: { globals: { process: 'readonly' } } },
   {
     files: ['build/*.cjs'],
     languageOptions: { sourceType: 'commonjs', globals: { require: 'readonly' } },
--- a/src/api/jobs.ts
+++ b/src/api/jobs.ts
@@ -1,29 +1,25 @@
+/** What users may do with jobs: submit, ask, withdraw. */
 import {
-  FRESH_MS,
   LEDGER_ENTRY_BYTES,
   MAX_CHUNK_SHARDS,
-  POLL_DEADLINE_MS,
-  POLL_GATHER_MS,
+  MAX_RETRY_AFTER_S,
+  RECORD_ENVELOPE_BYTES,
   SUBMIT_DEADLINE_MS,
 } from '../constants.js';
 import type { Settings, Team } from '../config/settings.js';
+import { lastingLimits } from '../config/state-limits.js';
 import type { Fleet } from '../controller/fleet.js';
 import type { Log } from '../controller/log.js';
+import type { PredecessorStates } from '../controller/predecessor-states.js';
 import type { Book } from '../ledger/book.js';
-import { decodeEnded, decodeJob, endedKey, jobKey, type JobRecord, type JobSpec } from '../ledger/records.js';
+import { decodeJob, endedKey, jobKey, type EndedRecord, type JobRecord, type JobSpec } from '../ledger/records.js';
 import type { Clock } from '../net/clock.js';
 import { Priority } from '../net/token-bucket.js';
-import type { Condition, StateClient } from '../state/client.js';
-import type { Committer, TxnLimits } from '../state/committer.js';
+import type { Committer, Draft, TxnLimits } from '../state/committer.js';
 import type { Replica } from '../state/replica.js';
-import { parseSubmission, REF, whyNever } from './submission.js';
-
-export interface JobState {
-  Ref: string;
-  Phase: 'queued' | 'running' | 'done' | 'withdrawn';
-  done: number;
-  running: number;
-}
+import { jsonLength } from '../state/sizes.js';
+import type { JobLookup } from './job-lookup.js';
+import { parseSubmission, whyNever } from './submission.js';
 
 export interface Answer {
   status: number;
@@ -35,34 +31,32 @@
 const OUT = 'the state service does not answer';
 
 const later = (error: string, retryAfter = 1): Answer => ({ status: 503, body: { error }, retryAfter });
-
-interface Asked {
-  ref: string;
-  deadline: number;
-  resolve: (state: JobState | 'unknown' | 'no answer') => void;
+const never = (error: string): Answer => ({ status: 422, body: { error } });
+
+export interface JobsDependencies {
+  settings: Settings;
+  replica: Replica;
+  book: Book;
+  committer: Committer;
+  lookup: JobLookup;
+  states: PredecessorStates;
+  limits: TxnLimits;
+  fleet: Fleet;
+  clock: Clock;
+  log: Log;
 }
 
-/** What users may do with jobs: submit, ask, withdraw. */
 export class Jobs {
   private readonly teams: Map<string, Team>;
+  /** Bytes of a record at most, also after an announced change of the store's limits. */
+  private readonly valueBytes: number;
   private readonly chunk: number;
-  private asked: Asked[] = [];
-  private gathering = false;
-
-  constructor(
-    private readonly settings: Settings,
-    private readonly client: StateClient,
-    private readonly replica: Replica,
-    private readonly book: Book,
-    private readonly committer: Committer,
-    private readonly limits: TxnLimits,
-    private readonly fleet: Fleet,
-    private readonly clock: Clock,
-    private readonly log: Log,
-  ) {
-    this.teams = new Map(settings.cluster.teams.map((team) => [team.name, team]));
-    const room = (settings.cluster.state.value_kb * 1024) / LEDGER_ENTRY_BYTES;
-    this.chunk = Math.max(1, Math.min(MAX_CHUNK_SHARDS, Math.floor(room)));
+
+  constructor(private readonly dependencies: JobsDependencies) {
+    const { teams, state } = dependencies.settings.cluster;
+    this.teams = new Map(teams.map((team) => [team.name, team]));
+    this.valueBytes = lastingLimits(state).valueBytes;
+    this.chunk = Math.max(1, Math.min(MAX_CHUNK_SHARDS, Math.floor(this.valueBytes / LEDGER_ENTRY_BYTES)));
   }
 
   async submit(body: unknown): Promise<Answer> {
@@ -71,180 +65,147 @@
       const malformed: Answer = { status: 400, body: { error: parsed.error } };
       return parsed.ref === undefined ? malformed : this.ifKnown(parsed.ref, malformed);
     }
-    const { spec } = parsed;
-    const known = this.final(spec.Ref);
+    const { spec, awaits } = parsed;
+    const known = this.dependencies.lookup.final(spec.Ref);
     if (known !== undefined) return { status: 200, body: known };
-    if (!this.replica.loaded) return later('the records are not read yet');
-    if (this.isOut) return later(OUT);
-    if (this.fleet.catalog.size === 0) return this.ifKnown(spec.Ref, later('machine types are not known yet'));
-    const why = whyNever(spec, this.teams.get(spec.Owner), this.fleet.catalog.values()) ?? this.whyTooLarge(spec);
-    if (why !== undefined) return this.ifKnown(spec.Ref, { status: 422, body: { error: why } });
+    const refusal = this.refusal(spec, awaits) ?? (await this.refusalForPredecessors(spec, awaits));
+    if (refusal !== undefined) return refusal.isForAll ? refusal.answer : this.ifKnown(spec.Ref, refusal.answer);
+    return this.accept(spec, awaits);
+  }
+
+  /** Why a submission is not taken; `isForAll`: whatever is known of the job. */
+  private refusal(spec: JobSpec, awaits: readonly string[]): { answer: Answer; isForAll: boolean } | undefined {
+    const { settings, replica, committer, lookup, fleet } = this.dependencies;
+    if (!replica.loaded) return { answer: later('the records are not read yet'), isForAll: true };
+    if (lookup.isOut) return { answer: later(OUT), isForAll: true };
+    if (fleet.catalog.size === 0) return { answer: later('machine types are not known yet'), isForAll: false };
+    const why = whyNever(spec, this.teams.get(spec.Owner), fleet.catalog.values()) ?? this.whyTooLarge(spec, awaits);
+    if (why !== undefined) return { answer: never(why), isForAll: false };
     // Over budget: told at once, with the time until the writers before this one are through.
-    const behindS = this.committer.backlog(Priority.accept) / this.settings.cluster.state.write_rps;
-    if (behindS > 1) return { status: 429, body: { error: 'busy' }, retryAfter: Math.min(30, Math.ceil(behindS)) };
-    const record: JobRecord = { spec, phase: 'active', at: Math.round(this.clock.wall()), chunk: this.chunk };
-    const outcome = await this.committer.commit(
+    const behindS = committer.backlog(Priority.accept) / settings.cluster.state.write_rps;
+    if (behindS <= 1) return undefined;
+    const retryAfter = Math.min(MAX_RETRY_AFTER_S, Math.ceil(behindS));
+    return { answer: { status: 429, body: { error: 'busy' }, retryAfter }, isForAll: true };
+  }
+
+  /** Jobs whose records no transaction could hold. */
+  private whyTooLarge(spec: JobSpec, awaits: readonly string[]): string | undefined {
+    const { limits } = this.dependencies;
+    const chunks = Math.ceil(spec.Shards / this.chunk);
+    const room = this.valueBytes - RECORD_ENVELOPE_BYTES;
+    if (jsonLength(spec) > room) return 'its record is too large';
+    if (jsonLength(spec) + jsonLength(awaits) > room) return 'more predecessors than its record can hold';
+    if ((spec.Spread || spec.OneZone) && chunks > limits.conditions - 8) return 'more tasks than can be compared';
+    if (spec.Shape === 'ensemble' && chunks > limits.ops - 2) return 'a gang too large to start whole';
+    return undefined;
+  }
+
+  /** Predecessors must have been accepted, by whichever node, and must be able to end. */
+  private async refusalForPredecessors(spec: JobSpec, awaits: readonly string[]) {
+    const { lookup, states, book } = this.dependencies;
+    if (awaits.length === 0) return undefined;
+    if (awaits.includes(spec.Ref)) return { answer: never('a job can not wait for itself'), isForAll: false };
+    const unknown = awaits.filter((each) => states.standingOf(each) === 'unknown');
+    const found = await Promise.all(unknown.map((each) => lookup.findNow(each)));
+    const missing = unknown.find((_, index) => found[index] === 'unknown');
+    if (missing !== undefined) return { answer: never(`${missing} was never accepted`), isForAll: false };
+    if (found.includes('no answer') || !lookup.knowsCancellations) return { answer: later(OUT), isForAll: false };
+    const service = awaits.find((each) => book.jobs.get(each)?.record.spec.Shape === 'service');
+    if (service !== undefined) return { answer: never(`${service} is a service, which never ends`), isForAll: false };
+    return undefined;
+  }
+
+  private async accept(spec: JobSpec, awaits: readonly string[]): Promise<Answer> {
+    const { committer, log } = this.dependencies;
+    let phase = 'active' as JobRecord['phase'];
+    const outcome = await committer.commit(
       'submit',
       Priority.accept,
       (draft) => {
         if (draft.get(endedKey(spec.Ref)) !== undefined || draft.get(jobKey(spec.Ref)) !== undefined) return false;
-        draft.set(jobKey(spec.Ref), record);
+        phase = this.record(draft, spec, awaits);
         return true;
       },
       SUBMIT_DEADLINE_MS,
     );
-    if (outcome.kind === 'done') {
-      this.log.info(
-        {
-          job: spec.Ref,
-          class: spec.Jobclass,
-          team: spec.Owner,
-          shards: spec.Shards,
-          bundle: spec.Bundle,
-          guess: spec.GuessS,
-          due: spec.DueS,
-        },
-        'job accepted',
-      );
-      return { status: 201, body: { Ref: spec.Ref, Phase: 'queued' } };
-    }
     if (outcome.kind === 'void') return this.ifKnown(spec.Ref, later(OUT));
-    return later(OUT);
+    if (outcome.kind !== 'done') return later(OUT);
+    log.info(
+      {
+        job: spec.Ref,
+        class: spec.Jobclass,
+        team: spec.Owner,
+        shards: spec.Shards,
+        bundle: spec.Bundle,
+        guess: spec.GuessS,
+        due: spec.DueS,
+        awaits,
+        phase,
+      },
+      'job accepted',
+    );
+    return { status: 201, body: { Ref: spec.Ref, Phase: phase === 'withdrawn' ? 'withdrawn' : 'queued' } };
   }
 
-  /** Jobs whose records no transaction could hold. */
-  private whyTooLarge(spec: JobSpec): string | undefined {
-    const chunks = Math.ceil(spec.Shards / this.chunk);
-    if (JSON.stringify(spec).length > this.settings.cluster.state.value_kb * 1024 - 200)
-      return 'its record is too large';
-    if ((spec.Spread || spec.OneZone) && chunks > this.limits.conditions - 8) return 'more tasks than can be compared';
-    if (spec.Shape === 'ensemble' && chunks > this.limits.ops - 2) return 'a gang too large to start whole';
-    return undefined;
+  /**
+   * Writes the record of a new job. Nothing is a condition that is said of its predecessors: that one is done or cancelled is
+   * final, and while one is open the job waits, which is looked at again as soon as its record is seen.
+   */
+  private record(draft: Draft, spec: JobSpec, awaits: readonly string[]): JobRecord['phase'] {
+    const { states, clock } = this.dependencies;
+    const at = Math.round(clock.wall());
+    const job: JobRecord = { spec, phase: 'active', at, chunk: this.chunk };
+    if (awaits.length > 0 && states.ancestryOf(awaits).isCancelled) {
+      draft.set(endedKey(spec.Ref), { phase: 'withdrawn', shards: spec.Shards } satisfies EndedRecord);
+      return 'withdrawn';
+    }
+    const isOpen = awaits.length > 0 && states.standingOfAll(awaits) !== 'done';
+    draft.set(jobKey(spec.Ref), isOpen ? ({ ...job, phase: 'waiting', awaits } satisfies JobRecord) : job);
+    return isOpen ? 'waiting' : 'active';
   }
 
   /** A job that is known gets its state, whatever else would have been said: accepted once, accepted for ever. */
   private async ifKnown(ref: string, otherwise: Answer): Promise<Answer> {
-    const state = this.final(ref) ?? (await this.ask(ref));
-    if (state === 'no answer') return later(OUT);
-    return state === 'unknown' ? otherwise : { status: 200, body: state };
-  }
-
-  /** Known on arrival: the store has refused this node, or not answered it, for a while, and has not answered since. */
-  private get isOut(): boolean {
-    const { lastRefusal, lastOk } = this.client;
-    return lastRefusal > lastOk && this.clock.now() - this.replica.freshAt > FRESH_MS;
+    const found = await this.dependencies.lookup.find(ref);
+    if (found === 'no answer') return later(OUT);
+    return found === 'unknown' ? otherwise : { status: 200, body: found };
   }
 
   async poll(ref: string): Promise<Answer> {
-    const state = this.final(ref) ?? (await this.ask(ref));
-    if (state === 'no answer') return later(OUT);
-    return state === 'unknown' ? { status: 404, body: { error: 'no such job' } } : { status: 200, body: state };
+    return this.ifKnown(ref, { status: 404, body: { error: 'no such job' } });
   }
 
   async withdraw(ref: string): Promise<Answer> {
-    const over = this.final(ref);
+    const { lookup, clock, committer, log } = this.dependencies;
+    const over = lookup.final(ref);
     if (over !== undefined) return { status: 200, body: { Ref: ref, Phase: over.Phase } };
-    if (this.isOut) return later(OUT);
-    const deadline = this.clock.now() + SUBMIT_DEADLINE_MS;
-    while (this.clock.now() < deadline) {
-      const outcome = await this.committer.commit(
-        'withdraw',
-        Priority.withdraw,
-        (draft) => {
-          const value = draft.get(jobKey(ref));
-          if (value === undefined) return false;
-          const job = decodeJob(value);
-          if (job.phase === 'withdrawn') return false;
-          draft.set(jobKey(ref), { ...job, phase: 'withdrawn' });
-          return true;
-        },
-        deadline - this.clock.now(),
-      );
+    if (lookup.isOut) return later(OUT);
+    const deadline = clock.now() + SUBMIT_DEADLINE_MS;
+    while (clock.now() < deadline) {
+      const decide = (draft: Draft) => this.recordWithdrawal(draft, ref);
+      const outcome = await committer.commit('withdraw', Priority.withdraw, decide, deadline - clock.now());
       if (outcome.kind === 'done') {
-        this.log.info({ job: ref }, 'job withdrawn');
+        log.info({ job: ref }, 'job withdrawn');
         return { status: 200, body: { Ref: ref, Phase: 'withdrawn' } };
       }
-      if (outcome.kind === 'expired') break;
+      if (outcome.kind !== 'void') break;
       // This node's copy has no such active job; the store may know better.
-      const state = this.final(ref) ?? (await this.ask(ref));
-      if (state === 'unknown') return { status: 404, body: { error: 'no such job' } };
-      if (state === 'no answer') break;
-      if (state.Phase === 'withdrawn' || state.Phase === 'done') {
-        return { status: 200, body: { Ref: ref, Phase: state.Phase } };
+      const found = await lookup.find(ref);
+      if (found === 'unknown') return { status: 404, body: { error: 'no such job' } };
+      if (found === 'no answer') break;
+      if (found.Phase === 'withdrawn' || found.Phase === 'done') {
+        return { status: 200, body: { Ref: ref, Phase: found.Phase } };
       }
     }
     return later(OUT);
   }
 
-  /** A final state from memory: it never changes. */
-  private final(ref: string): JobState | undefined {
-    const row = this.committer.read(endedKey(ref));
-    if (row.value === undefined) return undefined;
-    const ended = decodeEnded(row.value);
-    return { Ref: ref, Phase: ended.phase, done: ended.phase === 'done' ? ended.shards : 0, running: 0 };
-  }
-
-  private live(ref: string): JobState | 'unknown' | 'no answer' {
-    const view = this.book.jobs.get(ref);
-    // A record that can't be read is no reason to call an accepted job unknown.
-    if (view === undefined) return this.replica.get(jobKey(ref)).value === undefined ? 'unknown' : 'no answer';
-    if (view.record.phase === 'withdrawn') return { Ref: ref, Phase: 'withdrawn', done: view.done, running: 0 };
-    return { Ref: ref, Phase: view.placed > 0 ? 'running' : 'queued', done: view.done, running: view.placed };
-  }
-
-  /** The state as new as the store's own: cached Stamps of all who ask at once are compared in one transaction. */
-  private ask(ref: string): Promise<JobState | 'unknown' | 'no answer'> {
-    if (!REF.test(ref)) return Promise.resolve('unknown');
-    if (this.isOut) return Promise.resolve('no answer');
-    return new Promise((resolve) => {
-      this.asked.push({ ref, deadline: this.clock.now() + POLL_DEADLINE_MS, resolve });
-      void this.gather();
-    });
-  }
-
-  private async gather(): Promise<void> {
-    if (this.gathering) return;
-    this.gathering = true;
-    await this.clock.sleep(POLL_GATHER_MS);
-    this.gathering = false;
-    const batch = this.asked.splice(0, Math.floor(this.limits.conditions / 2));
-    if (this.asked.length > 0) void this.gather();
-    await this.check(batch);
-  }
-
-  private async check(batch: Asked[]): Promise<void> {
-    let open = batch;
-    for (let round = 0; round < 3 && open.length > 0; round++) {
-      const now = this.clock.now();
-      for (const each of open) if (now > each.deadline) each.resolve('no answer');
-      open = open.filter((each) => now <= each.deadline);
-      const conditions = new Map<string, Condition>();
-      for (const { ref } of open) {
-        for (const key of [jobKey(ref), endedKey(ref)]) {
-          conditions.set(key, { key, stamp: this.committer.read(key).stamp });
-        }
-      }
-      // The answers are taken before the comparison: what it confirms is what is told.
-      const answers = new Map(open.map(({ ref }) => [ref, this.final(ref) ?? this.live(ref)]));
-      const result = await this.client.txn([...conditions.values()], [], Priority.record);
-      if (result.kind === 'done') {
-        for (const each of open) each.resolve(answers.get(each.ref)!);
-        return;
-      }
-      if (result.kind !== 'conflict') break;
-      await Promise.all(result.failed.map((key) => this.reread(key)));
-    }
-    for (const each of open) each.resolve('no answer');
-  }
-
-  private async reread(key: string): Promise<void> {
-    try {
-      const row = await this.client.get(key, Priority.record);
-      if (key.startsWith('ended/')) this.committer.remember(key, row);
-      else if (row.value !== undefined) this.replica.apply({ key, ...row });
-      else if (row.epoch !== undefined) this.replica.apply({ key, value: undefined, stamp: row.epoch });
-    } catch {
-      // The next comparison fails again, and the user is told to come back.
-    }
+  private recordWithdrawal(draft: Draft, ref: string): boolean {
+    const value = draft.get(jobKey(ref));
+    if (value === undefined) return false;
+    const job = decodeJob(value);
+    if (job.phase === 'withdrawn') return false;
+    draft.set(jobKey(ref), { ...job, phase: 'withdrawn' });
+    return true;
   }
 }
--- a/src/api/submission.ts
+++ b/src/api/submission.ts
@@ -34,8 +34,11 @@
   DueS: orNull(amount),
 });
 
+/** The jobs that have to be done before; repeated names count once. */
+const PredecessorsSchema = v.object({ Awaits: orNull(v.array(v.pipe(v.string(), v.regex(REF, 'must name jobs')))) });
+
 export type Parsed =
-  | { ok: true; spec: JobSpec }
+  | { ok: true; spec: JobSpec; awaits: string[] }
   /** `ref`: the job that it speaks of, if it can be told: should that be known, nothing else about it matters. */
   | { ok: false; error: string; ref: string | undefined };
 
@@ -45,8 +48,11 @@
     return { ok: false, error: 'not an object', ref: undefined };
   }
   const result = v.safeParse(SpecSchema, body);
-  if (result.success) return { ok: true, spec: result.output };
-  const issue = result.issues[0];
+  const predecessors = v.safeParse(PredecessorsSchema, body);
+  if (result.success && predecessors.success) {
+    return { ok: true, spec: result.output, awaits: [...new Set(predecessors.output.Awaits)] };
+  }
+  const issue = (result.issues ?? predecessors.issues)![0];
   const { Ref: ref } = body as { Ref?: unknown };
   const known = typeof ref === 'string' && REF.test(ref) ? ref : undefined;
   return { ok: false, error: `${v.getDotPath(issue) ?? 'body'}: ${issue.message}`.slice(0, 300), ref: known };
--- a/src/config/least-limits.ts
+++ b/src/config/least-limits.ts
@@ -10,20 +10,35 @@
 } from '../constants.js';
 import type { Settings } from './settings.js';
 
+type StateSettings = Settings['cluster']['state'];
+
 interface Limit {
   field: string;
   value: number;
   least: number;
 }
 
+/** What is not announced to change stays as it is. */
+function stateLimitsOf(path: string, state: Partial<StateSettings>, nodes: number): Limit[] {
+  const least = {
+    rps: LEAST_STATE_REQUESTS_PER_NODE * nodes,
+    write_rps: LEAST_STATE_WRITES,
+    value_kb: LEAST_VALUE_KB,
+    txn_ops: LEAST_TRANSACTION_WRITES,
+  };
+  return Object.entries(least).map(([name, each]) => ({
+    field: `${path}.${name}`,
+    value: state[name as keyof typeof least] ?? Infinity,
+    least: each,
+  }));
+}
+
 const limitsOf = ({ cluster }: Settings): Limit[] => [
   { field: 'cluster.limits.cpu', value: cluster.limits.cpu, least: LEAST_CPU_SHARE },
   { field: 'cluster.limits.ram_mb', value: cluster.limits.ram_mb, least: LEAST_RAM_MB },
   { field: 'cluster.limits.sockets', value: cluster.limits.sockets, least: LEAST_SOCKETS },
-  { field: 'cluster.state.rps', value: cluster.state.rps, least: LEAST_STATE_REQUESTS_PER_NODE * cluster.size },
-  { field: 'cluster.state.write_rps', value: cluster.state.write_rps, least: LEAST_STATE_WRITES },
-  { field: 'cluster.state.value_kb', value: cluster.state.value_kb, least: LEAST_VALUE_KB },
-  { field: 'cluster.state.txn_ops', value: cluster.state.txn_ops, least: LEAST_TRANSACTION_WRITES },
+  ...stateLimitsOf('cluster.state', cluster.state, cluster.size),
+  ...stateLimitsOf('cluster.state.next', cluster.state.next ?? {}, cluster.size),
 ];
 
 /** What is wrong with the first limit that is too small, with the field's name; undefined: nothing. */
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -26,6 +26,8 @@
   times: v.optional(v.number()),
 });
 
+const StateLimitsSchema = { rps: positive, write_rps: positive, value_kb: positive, txn_ops: count };
+
 const SettingsSchema = v.object({
   node: text,
   location: v.optional(v.string(), ''),
@@ -45,7 +47,7 @@
       gang_peer_s: positive,
       cancel_s: positive,
     }),
-    state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count }),
+    state: v.object({ ...StateLimitsSchema, next: v.optional(v.nullable(v.partial(v.object(StateLimitsSchema)))) }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     limits: v.optional(
       v.object({
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -148,6 +148,9 @@
 /** s told to users in `Retry-After` when a request can't be taken: the protocol's shortest wait. */
 export const RETRY_AFTER_S = 1;
 
+/** s told to users in `Retry-After` at most: they follow no longer times. */
+export const MAX_RETRY_AFTER_S = 30;
+
 /** Bytes of a request body: the protocol's limit. */
 export const MAX_BODY_BYTES = 65_536;
 
@@ -205,6 +208,9 @@
 /** Bytes of one shard's entry in a ledger chunk, a safe upper bound used to size chunks. */
 export const LEDGER_ENTRY_BYTES = 64;
 
+/** Bytes of a job's record beside its submission and the names of its predecessors, a safe upper bound. */
+export const RECORD_ENVELOPE_BYTES = 200;
+
 /** Shards a ledger chunk at most: larger chunks cost processor time at every change. */
 export const MAX_CHUNK_SHARDS = 64;
 
@@ -421,6 +427,24 @@
 /** Changes in such a transaction at least: two jobs with their teams. */
 export const BATCH_TXN_LEAST = 4;
 
+/** Conditions that the store takes for each change that a transaction may hold. */
+export const CONDITIONS_PER_WRITE = 4;
+
+/** Bytes of a transaction: the store takes 64 KiB in total; some is left for the envelope. */
+export const MAX_TXN_BYTES = 60_000;
+
+/** ms between two looks at which form of records the controllers read, until all are known to read the present one. */
+export const FORMAT_LOOK_MS = 2000;
+
+/** ms between two looks at jobs that wait for others: only what an event has missed is found so. */
+export const PIPELINE_SWEEP_MS = 1000;
+
+/** Tasks left of a job from which its exits are recorded without delay, where other jobs wait for it. */
+export const LAST_TASKS = 4;
+
+/** Share of a cancellation's time within which a copy must have been complete to call a job that waits for others queued. */
+export const QUEUED_FRESH_SHARE = 0.5;
+
 /** ms between two looks of waiters at their rate. */
 export const BUCKET_LOOK_MS = 25;
 
--- a/src/controller/claims.ts
+++ b/src/controller/claims.ts
@@ -104,6 +104,11 @@
     return hashText(name) % this.partitionCount;
   }
 
+  /** The hold that this process's claims live on, as far as it knows. */
+  get hold(): number | undefined {
+    return this.latch;
+  }
+
   ownerOf(role: string): string | undefined {
     return this.book.claims.get(role)?.record.node;
   }
@@ -209,8 +214,7 @@
         // A claim of this node's former life may be taken at once: that process has ended.
         if (latch !== this.latch || (now !== undefined && now.node !== this.settings.node)) return false;
         if ((now?.latch === latch) !== mine) return false;
-        draft.latch = latch;
-        draft.set(claimKey(role), { node: this.settings.node, latch } satisfies ClaimRecord);
+        draft.setUnderHold(claimKey(role), { node: this.settings.node, latch } satisfies ClaimRecord, latch);
         return true;
       },
       HOLD_TTL_MS,
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,20 +1,24 @@
 import { randomInt } from 'node:crypto';
 import {
   BATCH_GATHER_SHARE,
-  BATCH_PUSH_GATHER_SHARE,
   GOSSIP_SOON_MS,
   GREET_PERIOD_MS,
   HTTP_SERVER_SOCKET_SHARE,
   SWEEP_MS,
+  FORMAT_LOOK_MS,
+  PIPELINE_SWEEP_MS,
   FINISH_PERIOD_MS,
   WATCH_HEARD_PAUSE_MS,
   WATCH_PAUSE_MS,
 } from '../constants.js';
+import { JobLookup } from '../api/job-lookup.js';
 import { Jobs, type Answer } from '../api/jobs.js';
 import { ApiServer } from '../api/server.js';
 import { CloudClient, decodeCatalog } from '../cloud/client.js';
 import type { Settings, Tuning } from '../config/settings.js';
-import { Book, type JobView } from '../ledger/book.js';
+import { lastingLimits } from '../config/state-limits.js';
+import { Book } from '../ledger/book.js';
+import { recordSizer } from '../ledger/record-sizes.js';
 import { LIVE, parseShard, shardName } from '../ledger/records.js';
 import { Mesh, splitAddress } from '../mesh/mesh.js';
 import type { Gossip, Message, Relay } from '../mesh/messages.js';
@@ -30,20 +34,25 @@
 import { Committer, txnLimits } from '../state/committer.js';
 import { Replica } from '../state/replica.js';
 import type { Report } from '../workers/report.js';
-import { Claims, LEADER, partitionRole } from './claims.js';
+import { Claims } from './claims.js';
 import { Fleet } from './fleet.js';
+import { FormatUpgrade } from './format-upgrade.js';
 import { GossipExchange } from './gossip-exchange.js';
 import { JobCompletion } from './job-completion.js';
+import { JobReactions } from './job-reactions.js';
 import { Leader } from './leader.js';
 import type { Log } from './log.js';
 import { Rescheduler } from './rescheduler.js';
 import { Owner } from './owner.js';
-import { isLarge } from './placer.js';
+import { PipelineProgress } from './pipeline-progress.js';
+import { every } from './periodic.js';
 import { Planner } from './planner.js';
+import { PredecessorStates } from './predecessor-states.js';
 import { Rebalancer } from './rebalancer.js';
 import { RecordBroadcast } from './record-broadcast.js';
 import { ReportService } from './report-service.js';
 import { WithdrawalEnforcer } from './withdrawal-enforcer.js';
+import { WorkerGreeter } from './worker-greeter.js';
 
 const FLAVOR = `${LIVE}flavor/`;
 
@@ -77,6 +86,9 @@
   private readonly rebalancer: Rebalancer;
   private readonly broadcast: RecordBroadcast;
   private readonly reports: ReportService;
+  private readonly pipelineProgress: PipelineProgress;
+  private readonly jobReactions: JobReactions;
+  private readonly formatUpgrade: FormatUpgrade;
 
   constructor(
     private readonly settings: Settings,
@@ -102,7 +114,7 @@
     );
     this.replica = new Replica(this.client, LIVE, clock, () => this.watchPauseMs());
     this.book = new Book(this.replica, {
-      job: (ref, shards) => this.jobChanged(ref, shards),
+      job: (ref, shards) => this.jobReactions.jobChanged(ref, shards),
       claim: () => this.claimChanged(),
       corrupt: (key, error) => log.error({ key, error: String(error) }, 'record can not be read'),
     });
@@ -129,6 +141,9 @@
       send: (node, message) => this.send(node, message),
     });
     this.committer.announce = (changes) => this.broadcast.announce(changes);
+    this.committer.onRejected = (name, why) => log.error({ change: name, why }, 'the store does not take a change');
+    const { valueBytes } = lastingLimits(settings.cluster.state);
+    this.committer.resize = recordSizer(valueBytes, (key) => this.replica.get(key).value);
     this.claims = new Claims(
       settings,
       this.client,
@@ -209,13 +224,47 @@
       log,
       onMisdirected: () => this.gossipSoon(),
     });
+    const states = new PredecessorStates({
+      book: this.book,
+      replica: this.replica,
+      committer: this.committer,
+      client: this.client,
+    });
     this.completion = new JobCompletion({
       claims: this.claims,
       book: this.book,
       replica: this.replica,
       committer: this.committer,
+      states,
+      clock,
+      log,
+      maxTransactionWrites: limits.ops,
+    });
+    this.pipelineProgress = new PipelineProgress({
+      claims: this.claims,
+      book: this.book,
+      committer: this.committer,
+      states,
+      clock,
+      log,
+    });
+    this.jobReactions = new JobReactions({
+      claims: this.claims,
+      book: this.book,
+      owner: this.owner,
+      planner: this.planner,
+      completion: this.completion,
+      pipelineProgress: this.pipelineProgress,
+      reportPeriodMs: this.periodMs,
+    });
+    this.formatUpgrade = new FormatUpgrade({
+      node: settings.node,
+      nodes: [settings.node, ...peerNodes],
+      clusterSize: settings.cluster.size,
+      claims: this.claims,
+      replica: this.replica,
+      committer: this.committer,
       log,
-      maxTransactionWrites: settings.cluster.state.txn_ops,
     });
     this.rebalancer = new Rebalancer({
       settings,
@@ -239,17 +288,28 @@
       sendSoon: () => this.gossipSoon(),
     });
     this.withdrawalEnforcer = new WithdrawalEnforcer(this.claims, this.book, this.fleet, this.peers, http, clock, log);
-    this.jobs = new Jobs(
+    const lookup = new JobLookup({
+      client: this.client,
+      replica: this.replica,
+      book: this.book,
+      committer: this.committer,
+      states,
+      limits,
+      clock,
+      cancelS: settings.cluster.workers.cancel_s,
+    });
+    this.jobs = new Jobs({
       settings,
-      this.client,
-      this.replica,
-      this.book,
-      this.committer,
+      replica: this.replica,
+      book: this.book,
+      committer: this.committer,
+      lookup,
+      states,
       limits,
-      this.fleet,
+      fleet: this.fleet,
       clock,
       log,
-    );
+    });
   }
 
   /** Runs until the signal fires. */
@@ -282,6 +342,9 @@
 
   /** The long-lived duties, without the sockets. */
   async duties(signal: AbortSignal): Promise<void> {
+    const { clock, log, claims, book, owner, fleet, leader } = this;
+    const periodic = { clock, log, signal };
+    const greeter = new WorkerGreeter({ claims, book, owner, fleet, leader });
     await Promise.all([
       this.replica.run(signal),
       this.claims.run(signal),
@@ -289,24 +352,15 @@
       this.planner.run(signal),
       this.leader.run(signal),
       this.rescheduler.run(signal),
-      this.every(FINISH_PERIOD_MS, signal, () => this.cleanUp()),
-      this.every(SWEEP_MS, signal, () => this.rebalance()),
-      this.every(SWEEP_MS, signal, () => this.withdrawalEnforcer.sweep()),
-      this.every(GREET_PERIOD_MS, signal, () => this.greet()),
+      every(FINISH_PERIOD_MS, periodic, () => this.cleanUp()),
+      every(SWEEP_MS, periodic, () => this.rebalance()),
+      every(SWEEP_MS, periodic, () => this.withdrawalEnforcer.sweep()),
+      every(GREET_PERIOD_MS, periodic, () => greeter.greet()),
+      every(PIPELINE_SWEEP_MS, periodic, () => this.pipelineProgress.sweep()),
+      every(FORMAT_LOOK_MS, periodic, () => this.formatUpgrade.look()),
     ]);
   }
 
-  private async every(ms: number, signal: AbortSignal, work: () => void): Promise<void> {
-    while (!signal.aborted) {
-      await this.clock.sleep(ms, signal);
-      try {
-        work();
-      } catch (error) {
-        this.log.error({ error: (error as Error).stack }, 'duty failed');
-      }
-    }
-  }
-
   /** Healthy: requests are really served here, or nobody could serve them better. */
   up(): Answer {
     const serving =
@@ -365,32 +419,6 @@
     for (const [sku, flavor] of catalog ?? []) this.fleet.catalog.set(sku, flavor);
   }
 
-  private jobChanged(ref: string, shards?: readonly number[]): void {
-    const view = this.book.jobs.get(ref);
-    this.planner.poke(view !== undefined && this.isUrgent(view));
-    if (view === undefined) return;
-    const withdrawn = view.record.phase === 'withdrawn';
-    const isBatch = view.record.spec.Shape === 'array';
-    for (const shard of shards ?? [...view.known()].map(([each]) => each)) {
-      const slot = view.slot(shard);
-      if (slot.kind !== 'placed') continue;
-      const worker = this.owner.workers.get(slot.host);
-      const task = worker?.tasks.get(shardName(ref, shard));
-      const unlaunched = task === undefined || task.attempt !== slot.attempt;
-      if (worker === undefined) continue;
-      if (withdrawn || slot.stop !== null) this.owner.push(slot.host);
-      else if (unlaunched) this.owner.push(slot.host, isBatch ? this.periodMs * BATCH_PUSH_GATHER_SHARE : undefined);
-    }
-    if (view.placed === 0 && (withdrawn || view.complete)) void this.completion.complete(ref);
-  }
-
-  /** Does work wait here for seconds at most, that this very node places? */
-  private isUrgent({ ref, record, queued }: JobView): boolean {
-    if (record.spec.Shape === 'array' || queued.length === 0) return false;
-    const role = isLarge(record.spec) ? LEADER : partitionRole(this.claims.partitionOf(ref));
-    return this.claims.holding(role) !== undefined;
-  }
-
   private claimChanged(): void {
     this.planner.poke();
     void this.claims.settle();
@@ -419,17 +447,4 @@
   private rebalance(): void {
     if (this.claims.inTouch) this.rebalancer.rebalance();
   }
-
-  /** Tells this node's fence to workers that have not been heard since a takeover. */
-  private greet(): void {
-    if (!this.claims.inTouch) return;
-    for (const host of this.book.hostsInUse()) {
-      if (this.owner.workers.has(host) || this.claims.holding(this.owner.roleOf(host)) === undefined) continue;
-      const endpoint = this.fleet.known(host)?.endpoint ?? this.leader.listing.get(host)?.endpoint;
-      if (endpoint === undefined) continue;
-      let tenure = 0;
-      for (const place of this.book.placesOn(host)) tenure = Math.max(tenure, place.slot.tenure);
-      void this.owner.greet(host, endpoint, tenure);
-    }
-  }
 }
--- /dev/null
+++ b/src/controller/format-upgrade.ts
@@ -0,0 +1,81 @@
+/**
+ * Finds out when every controller reads the present form of records. Each process says so in a record under its own hold, so
+ * what a process has said is gone with it; and once all controllers are seen to say so in one transaction, a lasting record
+ * notes it. Until then nothing is written that an earlier version would misread, and after it no earlier version comes back.
+ */
+import { FORMAT_COMPLETE_KEY, formatKey, RECORD_FORMAT, type FormatRecord } from '../ledger/records.js';
+import { Priority } from '../net/token-bucket.js';
+import type { Committer, Draft } from '../state/committer.js';
+import type { Replica } from '../state/replica.js';
+import type { Log } from './log.js';
+
+export interface FormatUpgradeDependencies {
+  node: string;
+  /** All controllers, this one included. */
+  nodes: readonly string[];
+  /** How many there should be. */
+  clusterSize: number;
+  /** The hold that this process's records live on, and whether it may act on its copy of the records. */
+  claims: { readonly hold: number | undefined; readonly inTouch: boolean };
+  replica: Replica;
+  committer: Committer;
+  log: Log;
+}
+
+export class FormatUpgrade {
+  private isCommitting = false;
+
+  constructor(private readonly dependencies: FormatUpgradeDependencies) {}
+
+  /** Does every controller read the present form? */
+  get isComplete(): boolean {
+    return this.dependencies.replica.get(FORMAT_COMPLETE_KEY).value !== undefined;
+  }
+
+  /** Says so of this process, and notes when all do. Called now and then. */
+  async look(): Promise<void> {
+    const { claims, committer, log } = this.dependencies;
+    if (this.isComplete || this.isCommitting || claims.hold === undefined || !claims.inTouch) return;
+    this.isCommitting = true;
+    if (!this.isAnnounced) await committer.commit('format', Priority.hold, (draft) => this.announce(draft));
+    else if (this.areAllAnnounced) {
+      const outcome = await committer.commit('format complete', Priority.hold, (draft) => this.complete(draft));
+      if (outcome.kind === 'done')
+        log.info({ format: RECORD_FORMAT }, 'all controllers read the present form of records');
+    }
+    this.isCommitting = false;
+  }
+
+  private recordOf(node: string): FormatRecord | undefined {
+    return this.dependencies.replica.get(formatKey(node)).value as FormatRecord | undefined;
+  }
+
+  private get isAnnounced(): boolean {
+    const { node, claims } = this.dependencies;
+    return this.recordOf(node)?.latch === claims.hold;
+  }
+
+  private get areAllAnnounced(): boolean {
+    const { nodes, clusterSize } = this.dependencies;
+    return nodes.length === clusterSize && nodes.every((node) => this.recordOf(node)?.format === RECORD_FORMAT);
+  }
+
+  private announce(draft: Draft): boolean {
+    const { node, claims } = this.dependencies;
+    if (claims.hold === undefined || this.isAnnounced) return false;
+    draft.setUnderHold(
+      formatKey(node),
+      { format: RECORD_FORMAT, latch: claims.hold } satisfies FormatRecord,
+      claims.hold,
+    );
+    return true;
+  }
+
+  /** Under the condition that all processes that have said so are still there. */
+  private complete(draft: Draft): boolean {
+    if (!this.areAllAnnounced || draft.get(FORMAT_COMPLETE_KEY) !== undefined) return false;
+    for (const node of this.dependencies.nodes) draft.get(formatKey(node));
+    draft.set(FORMAT_COMPLETE_KEY, { format: RECORD_FORMAT });
+    return true;
+  }
+}
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -21,7 +21,7 @@
 import { exitPriority } from '../placement/queue.js';
 import { cutZones, machinesToGiveUp, type Watched } from '../placement/silence.js';
 import { belowReserve, bootLimitMs } from '../placement/renting.js';
-import type { Committer } from '../state/committer.js';
+import type { Committer, Draft } from '../state/committer.js';
 import type { Peers } from '../mesh/peers.js';
 import { reportLateMs, silenceLimitMs } from '../workers/worker.js';
 import { LEADER, partitionRole, type Claims } from './claims.js';
@@ -125,20 +125,23 @@
     if (body === undefined) return;
     this.catalogAt = now;
     const flavors = (body as { Flavors: { Sku: string }[] }).Flavors;
-    await this.committer.commit('catalogue', Priority.record, (draft) => {
-      if (!this.claims.require(draft, LEADER)) return false;
-      let changed = false;
-      for (const flavor of flavors) {
-        // Prices move all the time; only what decides about fitting is worth a change.
-        const old = decodeCatalog({ Flavors: [draft.get(flavorKey(flavor.Sku)) ?? {}] })?.get(flavor.Sku);
-        const now = decodeCatalog({ Flavors: [flavor] })!.get(flavor.Sku)!;
-        const static_ = (f: typeof now) => JSON.stringify({ ...f, hourly: 0, lowPrice: 0 });
-        if (old !== undefined && static_(old) === static_(now)) continue;
-        draft.set(flavorKey(flavor.Sku), flavor);
-        changed = true;
-      }
-      return changed;
-    });
+    // Each type is a decision of its own: all together may be more than one transaction holds.
+    await Promise.all(
+      flavors.map((flavor) =>
+        this.committer.commit('catalogue', Priority.record, (draft) => this.recordFlavor(draft, flavor)),
+      ),
+    );
+  }
+
+  private recordFlavor(draft: Draft, flavor: { Sku: string }): boolean {
+    if (!this.claims.require(draft, LEADER)) return false;
+    // Prices move all the time; only what decides about fitting is worth a change.
+    const old = decodeCatalog({ Flavors: [draft.get(flavorKey(flavor.Sku)) ?? {}] })?.get(flavor.Sku);
+    const now = decodeCatalog({ Flavors: [flavor] })!.get(flavor.Sku)!;
+    const withoutPrices = (each: typeof now) => JSON.stringify({ ...each, hourly: 0, lowPrice: 0 });
+    if (old !== undefined && withoutPrices(old) === withoutPrices(now)) return false;
+    draft.set(flavorKey(flavor.Sku), flavor);
+    return true;
   }
 
   private async readList(): Promise<void> {
--- /dev/null
+++ b/src/controller/pipeline-progress.ts
@@ -0,0 +1,86 @@
+/**
+ * Moves on jobs that wait for others: lets them start when the last job before them is done, and cancels them with any job
+ * before them. Driven by changes of the records, and by a sweep that finds what an event has missed. Any node may take a
+ * step, since each is one conditional write; the node responsible for a job's records does.
+ */
+import type { Book } from '../ledger/book.js';
+import { cancelWaitingJob, releaseJob } from '../ledger/pipeline-edits.js';
+import type { Clock } from '../net/clock.js';
+import { Priority } from '../net/token-bucket.js';
+import type { Committer, Draft } from '../state/committer.js';
+import type { Claims } from './claims.js';
+import type { Log } from './log.js';
+import type { PredecessorStates } from './predecessor-states.js';
+import { isResponsibleFor } from './responsibility.js';
+
+export interface PipelineProgressDependencies {
+  claims: Claims;
+  book: Book;
+  committer: Committer;
+  states: PredecessorStates;
+  clock: Clock;
+  log: Log;
+}
+
+export class PipelineProgress {
+  /** Jobs of which a step is being recorded. */
+  private readonly moving = new Set<string>();
+
+  constructor(private readonly dependencies: PipelineProgressDependencies) {}
+
+  /** The record of a job has changed, or is gone. */
+  jobChanged(ref: string): void {
+    const { book } = this.dependencies;
+    const { pipelines } = book;
+    if (pipelines.waitingCount === 0) return;
+    if (pipelines.isWaiting(ref)) this.consider(ref);
+    const record = book.jobs.get(ref)?.record;
+    if (record === undefined) for (const each of [...pipelines.successorsOf(ref)]) this.consider(each);
+    else if (record.phase === 'withdrawn') this.considerAllAfter(ref);
+  }
+
+  /** Level-triggered: whatever was missed. */
+  sweep(): void {
+    for (const ref of [...this.dependencies.book.pipelines.waitingJobs]) this.consider(ref);
+  }
+
+  private considerAllAfter(ref: string): void {
+    const { pipelines } = this.dependencies.book;
+    const found = new Set(pipelines.successorsOf(ref));
+    for (const each of found) for (const next of pipelines.successorsOf(each)) found.add(next);
+    for (const each of found) this.consider(each);
+  }
+
+  /** Takes the step that a waiting job is ready for, if this node is to. */
+  private consider(ref: string): void {
+    const { claims, book, states, log } = this.dependencies;
+    if (this.moving.has(ref) || !claims.inTouch || !isResponsibleFor(claims, ref)) return;
+    const predecessors = book.pipelines.predecessorsOf(ref);
+    const standing = states.standingOfAll(predecessors);
+    if (standing === 'done') this.move(ref, 'release', (draft) => this.release(draft, ref));
+    else if (states.ancestryOf(predecessors).isCancelled)
+      this.move(ref, 'cancel', (draft) => cancelWaitingJob(draft, ref));
+    else if (standing === 'unknown') {
+      this.moving.add(ref);
+      void states.learn(predecessors.filter((each) => states.standingOf(each) === 'unknown')).then(() => {
+        this.moving.delete(ref);
+        const known = states.standingOfAll(book.pipelines.predecessorsOf(ref));
+        if (known !== 'unknown') this.consider(ref);
+        else log.debug({ job: ref }, 'how a job before it has ended is not known yet');
+      });
+    }
+  }
+
+  private release(draft: Draft, ref: string): boolean {
+    return releaseJob(draft, ref, Math.round(this.dependencies.clock.wall()));
+  }
+
+  private move(ref: string, name: string, decide: (draft: Draft) => boolean): void {
+    const { committer, log } = this.dependencies;
+    this.moving.add(ref);
+    void committer.commit(name, Priority.start, decide).then((outcome) => {
+      this.moving.delete(ref);
+      if (outcome.kind === 'done') log.info({ job: ref, step: name }, 'waiting job moved on');
+    });
+  }
+}
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -16,7 +16,7 @@
 import type { Settings, Team, Tuning } from '../config/settings.js';
 import type { Book, JobView } from '../ledger/book.js';
 import { startShard } from '../ledger/edits.js';
-import { shardName, type JobSpec, type TeamRecord } from '../ledger/records.js';
+import { runnableSince, shardName, type JobSpec, type TeamRecord } from '../ledger/records.js';
 import { isWithin, quotaAllows, takeRoom, type Room } from '../ledger/rules.js';
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
@@ -210,9 +210,10 @@
       list.push({
         record: view.record,
         guaranteed: withinGuarantee(team, use, spec),
-        feasible: isFeasible(view.record, targetsOf(spec, this.settings.cluster.objectives), needS, now),
+        feasible: isFeasible(targetsOf(view.record, this.settings.cluster.objectives), needS, now),
         work: open * spec.Cpus * needS,
-        overdue: spec.Shape === 'array' && open === spec.Shards && now - view.record.at > BEGIN_WITHIN_MS,
+        overdue: spec.Shape === 'array' && open === spec.Shards && now - runnableSince(view.record) > BEGIN_WITHIN_MS,
+        startBy: startBy(view, needS),
       });
     }
     return list.sort(before);
@@ -405,6 +406,13 @@
   }
 }
 
+/** Time of day, ms, by which a job of a pipeline must start; Infinity for all others. */
+function startBy({ finishBy, record }: JobView, needS: number): number {
+  const { spec, at, releasedAt } = record;
+  const isLast = finishBy === Infinity && releasedAt !== undefined && spec.DueS !== null;
+  return (isLast ? at + spec.DueS! * 1000 : finishBy) - needS * 1000;
+}
+
 /** ms from the end of a plan that took so long to the next, which may take a share of the time. */
 export const planRestMs = (tookMs: number, share: number): number =>
   Math.max(Math.min(MAX_PLAN_REST_MS, tookMs * (1 / share - 1)), tookMs * PLAN_REST_LEAST);
--- a/src/controller/renter.ts
+++ b/src/controller/renter.ts
@@ -8,6 +8,7 @@
 } from '../constants.js';
 import type { CloudClient, ListedMachine } from '../cloud/client.js';
 import type { Settings } from '../config/settings.js';
+import { lastingLimits } from '../config/state-limits.js';
 import type { Book } from '../ledger/book.js';
 import { hireKey, type HireRecord, type JobSpec } from '../ledger/records.js';
 import { allowedOn, zoneAllows } from '../ledger/rules.js';
@@ -30,9 +31,11 @@
    */
   private readonly refused = new Map<string, number>();
   private sequence = 0;
+  /** Records that one transaction may change, also after an announced change of the store's limits. */
+  private readonly mostRecords: number;
 
   constructor(
-    private readonly settings: Settings,
+    settings: Settings,
     private readonly claims: Claims,
     private readonly book: Book,
     private readonly fleet: Fleet,
@@ -43,7 +46,9 @@
     private readonly log: Log,
     /** The cloud's list, as last read. */
     private readonly listed: () => ReadonlyMap<string, ListedMachine>,
-  ) {}
+  ) {
+    this.mostRecords = lastingLimits(settings.cluster.state).transactionWrites;
+  }
 
   /** Changes the records of rentals, one for each, so that none outgrows what the store keeps under a key. */
   private async note(hires: readonly HireRecord[], drop = false): Promise<boolean> {
@@ -103,7 +108,7 @@
     return offers;
   }
 
-  /** True: something was refused, so that another look may find another offer. */
+  /** True: something was refused or left for another transaction, so that another look may find more. */
   async round(): Promise<boolean> {
     const hires = [...this.book.hires.values()];
     const wall = this.clock.wall();
@@ -111,7 +116,7 @@
     // First the requests of a former leader, or of a lost answer: the same name gets the same machines.
     const open = hires.filter((hire) => hire.hosts === null);
     if (open.length > 0) {
-      const back = open.filter((hire) => this.refused.has(hire.name)).slice(0, this.settings.cluster.state.txn_ops);
+      const back = open.filter((hire) => this.refused.has(hire.name)).slice(0, this.mostRecords);
       if (back.length > 0) await this.note(back, true);
       await Promise.all(open.filter((hire) => !this.refused.has(hire.name)).map((hire) => this.ask(hire)));
       return true;
@@ -121,7 +126,7 @@
     const over = (hire: HireRecord) =>
       hire.hosts!.every((host) => heard.has(host) || this.fleet.gone.has(host)) ||
       wall - hire.at > 2 * bootLimitMs(this.fleet.catalog.get(hire.flavor));
-    const most = this.settings.cluster.state.txn_ops;
+    const most = this.mostRecords;
     const past = hires.filter(over).slice(0, most);
     if (past.length > 0) await this.note(past, true);
     const coming: Offer[] = [];
@@ -160,7 +165,7 @@
     const noted = await this.note(records);
     if (!noted) return false;
     const full = await Promise.all(records.map((record) => this.ask(record)));
-    return full.includes(false);
+    return full.includes(false) || wanted.length > most;
   }
 
   /** More machines where free room has become scarce, before tasks have to wait for them. */
--- a/src/ledger/book.ts
+++ b/src/ledger/book.ts
@@ -1,13 +1,17 @@
 import type { Team } from '../config/settings.js';
 import type { Company } from '../state/committer.js';
 import type { Replica, Stored } from '../state/replica.js';
+import { Pipelines, type Urgency } from './pipelines.js';
 import {
   chunkKey,
   chunkSize,
   decodeChunk,
   decodeHire,
   decodeJob,
+  JOB_PREFIX,
+  LEDGER_PREFIX,
   LIVE,
+  RANKS,
   type ClaimRecord,
   type HireRecord,
   type JobRecord,
@@ -29,10 +33,41 @@
   done = 0;
   placed = 0;
   private waiting: number[] | undefined;
+  private effective: JobRecord;
+  /** Time of day, ms, by which the job must be complete for the sake of the jobs that need it; Infinity: no matter. */
+  finishBy = Infinity;
+  private inheritedRank = RANKS.length;
+
   constructor(
     readonly ref: string,
-    public record: JobRecord,
-  ) {}
+    private stored: JobRecord,
+  ) {
+    this.effective = stored;
+  }
+
+  /** The job's record, but with the rank of the most urgent job that needs it, where that is higher than its own. */
+  get record(): JobRecord {
+    return this.effective;
+  }
+
+  /** Takes in a new record of the job. */
+  store(record: JobRecord): void {
+    this.stored = record;
+    this.raise();
+  }
+
+  /** Takes in what the jobs that need this one ask of it. */
+  inherit({ rank, finishBy }: Urgency): void {
+    this.finishBy = finishBy;
+    this.inheritedRank = rank;
+    this.raise();
+  }
+
+  private raise(): void {
+    const { spec } = this.stored;
+    const isRaised = this.inheritedRank < RANKS.indexOf(spec.Rank);
+    this.effective = isRaised ? { ...this.stored, spec: { ...spec, Rank: RANKS[this.inheritedRank]! } } : this.stored;
+  }
 
   slot(shard: number): Slot {
     const chunk = this.chunks.get(Math.floor(shard / this.record.chunk));
@@ -87,14 +122,14 @@
   corrupt?(key: string, error: unknown): void;
 }
 
-const JOB = `${LIVE}job/`;
-const LEDGER = `${LIVE}ledger/`;
 const CLAIM = `${LIVE}claim/`;
 const HIRE = `${LIVE}hire/`;
 
 /** The replica's records, read and indexed: jobs, places by machine, claims. */
 export class Book {
   readonly jobs = new Map<string, JobView>();
+  /** Which jobs wait for which others. */
+  readonly pipelines = new Pipelines((ref, urgency) => this.jobs.get(ref)?.inherit(urgency));
   readonly claims = new Map<string, { record: ClaimRecord; stamp: number }>();
   /** Rentals that are not over. */
   readonly hires = new Map<string, HireRecord>();
@@ -146,13 +181,13 @@
   /** Ledger chunks of jobs that are over: what the transaction of the end had no room for. */
   *leftChunks(): Iterable<{ ref: string; chunks: number[] }> {
     for (const [ref, chunks] of this.orphans)
-      if (!this.unreadable.has(`${JOB}${ref}`)) yield { ref, chunks: [...chunks.keys()] };
+      if (!this.unreadable.has(`${JOB_PREFIX}${ref}`)) yield { ref, chunks: [...chunks.keys()] };
   }
 
   private take(key: string, now: Stored): void {
     try {
-      if (key.startsWith(JOB)) this.takeJob(key.slice(JOB.length), now.value);
-      else if (key.startsWith(LEDGER)) this.takeChunk(key.slice(LEDGER.length), now.value);
+      if (key.startsWith(JOB_PREFIX)) this.takeJob(key.slice(JOB_PREFIX.length), now.value);
+      else if (key.startsWith(LEDGER_PREFIX)) this.takeChunk(key.slice(LEDGER_PREFIX.length), now.value);
       else if (key.startsWith(CLAIM)) this.takeClaim(key.slice(CLAIM.length), now);
       else if (key.startsWith(HIRE)) this.takeHire(key.slice(HIRE.length), now.value);
       this.unreadable.delete(key);
@@ -185,11 +220,17 @@
       }
       if (left.size > 0) this.orphans.set(ref, left);
       this.jobs.delete(ref);
+      this.pipelines.update(ref, undefined);
     } else if (old !== undefined) {
-      old.record = decodeJob(value);
+      const record = decodeJob(value);
+      old.store(record);
+      this.pipelines.update(ref, record);
     } else {
-      const view = new JobView(ref, decodeJob(value));
+      const record = decodeJob(value);
+      const view = new JobView(ref, record);
       this.jobs.set(ref, view);
+      view.inherit(this.pipelines.urgencyOf(ref));
+      this.pipelines.update(ref, record);
       // Pages and news may bring a ledger before its job.
       for (const [index, chunk] of this.orphans.get(ref) ?? []) {
         this.setChunk(view, index, decodeChunk(chunk, chunkSize(view.record, index)));
--- a/src/ledger/edits.ts
+++ b/src/ledger/edits.ts
@@ -142,7 +142,7 @@
  */
 export function endJob(draft: Draft, ref: string, ops: number): boolean {
   const job = readJob(draft, ref);
-  if (job === undefined) return false;
+  if (job === undefined || job.phase === 'waiting') return false;
   const keys = Array.from({ length: chunkCount(job) }, (_, index) => chunkKey(ref, index));
   const slots = keys.flatMap((key, index) => decodeChunk(draft.peek(key), chunkSize(job, index)));
   if (slots.some(({ kind }) => kind === 'placed')) return false;
--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -7,13 +7,22 @@
 export const LIVE = 'live/';
 
 export const claimKey = (role: string): string => `${LIVE}claim/${role}`;
-export const jobKey = (ref: string): string => `${LIVE}job/${ref}`;
+export const JOB_PREFIX = `${LIVE}job/`;
+export const jobKey = (ref: string): string => `${JOB_PREFIX}${ref}`;
+export const LEDGER_PREFIX = `${LIVE}ledger/`;
 export const chunkKey = (ref: string, chunk: number): string =>
-  `${LIVE}ledger/${ref}/${String(chunk).padStart(4, '0')}`;
+  `${LEDGER_PREFIX}${ref}/${String(chunk).padStart(4, '0')}`;
 export const teamKey = (team: string): string => `${LIVE}team/${team}`;
 export const flavorKey = (sku: string): string => `${LIVE}flavor/${encodeURIComponent(sku)}`;
 export const hireKey = (name: string): string => `${LIVE}hire/${name}`;
-export const endedKey = (ref: string): string => `ended/${ref}`;
+export const ENDED_PREFIX = 'ended/';
+export const endedKey = (ref: string): string => `${ENDED_PREFIX}${ref}`;
+/** Kept under its hold by each process that reads the present form of records. */
+export const formatKey = (node: string): string => `${LIVE}format/node/${node}`;
+/** There once all controllers have been seen to read the present form of records; never dropped. */
+export const FORMAT_COMPLETE_KEY = `${LIVE}format/complete`;
+/** Version of the form of records that this program reads: 2 knows compact ledger chunks. */
+export const RECORD_FORMAT = 2;
 
 export type Shape = 'array' | 'ensemble' | 'service';
 export type Rank = 'prod' | 'high' | 'normal' | 'low';
@@ -44,16 +53,30 @@
 
 export interface JobRecord {
   spec: JobSpec;
-  phase: 'active' | 'withdrawn';
+  /** `waiting`: until its predecessors are done; versions without pipelines can't read such a record, and start nothing. */
+  phase: 'waiting' | 'active' | 'withdrawn';
   /** Time of day of the submission, ms; orders jobs and sets deadlines, never safety. */
   at: number;
   /** Shards in one ledger chunk of this job. */
   chunk: number;
+  /** Jobs that must be done before this one may start, of one that waits for them. */
+  awaits?: readonly string[];
+  /** Time of day when the last predecessor was seen to be done, ms; absent where there was none. */
+  releasedAt?: number;
 }
 
+/** Time of day from which the job may run, ms. */
+export const runnableSince = (job: JobRecord): number => job.releasedAt ?? job.at;
+
 /** Does a record, as it is written, call its job off? */
 export const isWithdrawal = (key: string, value: unknown): boolean =>
-  key.startsWith(jobKey('')) && (value as JobRecord | undefined)?.phase === 'withdrawn';
+  key.startsWith(JOB_PREFIX) && (value as JobRecord | undefined)?.phase === 'withdrawn';
+
+/** A controller's process that reads records of this form; of the hold that keeps the record. */
+export interface FormatRecord {
+  format: number;
+  latch: number;
+}
 
 export interface EndedRecord {
   phase: 'done' | 'withdrawn';
@@ -99,12 +122,20 @@
 
 const isCount = (value: unknown): value is number => Number.isSafeInteger(value) && (value as number) >= 0;
 
+/** A ledger chunk as it is stored. */
+interface RawChunk {
+  s: unknown[];
+  /** Of a compact chunk: the zones, which its slots name by their index. */
+  z?: string[];
+}
+
 /** `like` is what stood there before: mostly nothing has changed, and then the very same object is kept. */
-function decodeSlot(raw: unknown, like?: Slot): Slot {
+function decodeSlot(raw: unknown, zones: readonly string[], like?: Slot): Slot {
   if (raw === 0) return FRESH;
   if (raw === 1) return DONE;
   if (Array.isArray(raw) && isCount(raw[0]) && isCount(raw[1])) {
-    const [attempt, fails, host, tenure, stop, site] = raw as [number, number, unknown, unknown, unknown, unknown];
+    const [attempt, fails, host, tenure, stop, zone] = raw as [number, number, unknown, unknown, unknown, unknown];
+    const site = typeof zone === 'number' ? zones[zone] : zone;
     if (like?.kind === 'placed' && like.attempt === attempt && like.host === host && like.tenure === tenure) {
       if (like.stop === (stop === -1 ? null : stop) && like.site === site && like.fails === fails) return like;
     }
@@ -116,28 +147,34 @@
   throw new CorruptRecord(`ledger entry ${JSON.stringify(raw)}`);
 }
 
-function encodeSlot(slot: Slot): unknown {
+function encodeSlot(slot: Slot, zones?: readonly string[]): unknown {
   switch (slot.kind) {
     case 'done':
       return 1;
     case 'queued':
       return slot.attempt === 0 && slot.fails === 0 ? 0 : [slot.attempt, slot.fails];
     case 'placed':
-      return [slot.attempt, slot.fails, slot.host, slot.tenure, slot.stop ?? -1, slot.site];
+      return [slot.attempt, slot.fails, slot.host, slot.tenure, slot.stop ?? -1, zoneIn(slot.site, zones)];
   }
 }
 
+/** A zone by its index, where it is among the zones of a compact chunk; else by its name. */
+function zoneIn(site: string, zones: readonly string[] | undefined): string | number {
+  const index = zones?.indexOf(site) ?? -1;
+  return index < 0 ? site : index;
+}
+
 /** Records are never changed in place, so a chunk is decoded once, however many decisions look at it. */
 const decoded = new WeakMap<object, readonly Slot[]>();
 
 /** A missing chunk stands for shards that were never placed. `like` are the chunk's slots before, as far as known. */
 export function decodeChunk(value: unknown, size: number, like?: readonly Slot[]): readonly Slot[] {
   if (value === undefined) return Array.from({ length: size }, () => FRESH);
-  const { s: raw } = (value ?? {}) as { s?: unknown };
-  if (!Array.isArray(raw) || raw.length !== size) throw new CorruptRecord('ledger chunk');
+  const { s: raw, z: zones = [] } = (value ?? {}) as Partial<RawChunk>;
+  if (!Array.isArray(raw) || raw.length !== size || !Array.isArray(zones)) throw new CorruptRecord('ledger chunk');
   const known = decoded.get(value as object);
   if (known !== undefined) return known;
-  const slots = raw.map((each, at) => decodeSlot(each, like?.[at]));
+  const slots = raw.map((each, at) => decodeSlot(each, zones, like?.[at]));
   decoded.set(value as object, slots);
   return slots;
 }
@@ -145,17 +182,34 @@
 /** The record of a chunk with one slot changed: the others are neither decoded nor encoded nor measured again. */
 export function withSlot(value: unknown, size: number, at: number, slot: Slot): unknown {
   const slots = [...decodeChunk(value, size)];
-  const raw: unknown[] = value === undefined ? Array<unknown>(size).fill(0) : [...(value as { s: unknown[] }).s];
+  const stored: RawChunk = value === undefined ? { s: Array<unknown>(size).fill(0) } : (value as RawChunk);
+  const raw = [...stored.s];
   const old = raw[at];
-  raw[at] = encodeSlot(slot);
+  raw[at] = encodeSlot(slot, stored.z);
   slots[at] = slot;
-  const next = { s: raw };
+  const next: RawChunk = { ...stored, s: raw };
   decoded.set(next, slots);
-  const before = value === undefined ? jsonLength({ s: Array<unknown>(size).fill(0) }) : jsonLength(value);
-  noteLength(next, before + jsonLength(raw[at]) - jsonLength(old));
+  noteLength(next, jsonLength(stored) + jsonLength(raw[at]) - jsonLength(old));
   return next;
 }
 
+/**
+ * The same chunk with its zones named once, for stores that take less than the version that made the chunk counted on: an
+ * entry then takes some 25 bytes in place of 40. Only for readers of `RECORD_FORMAT` 2.
+ */
+export function compactChunk(value: unknown): unknown {
+  const slots = decodeChunk(value, (value as RawChunk).s.length);
+  const zones = [...new Set(slots.flatMap((slot) => (slot.kind === 'placed' ? [slot.site] : [])))];
+  const next: RawChunk = { z: zones, s: slots.map((slot) => encodeSlot(slot, zones)) };
+  decoded.set(next, slots);
+  return next;
+}
+
+const PHASES: readonly JobRecord['phase'][] = ['waiting', 'active', 'withdrawn'];
+
+const isListOfJobs = (value: unknown): boolean =>
+  value === undefined || (Array.isArray(value) && value.every((each) => typeof each === 'string'));
+
 export function decodeJob(value: unknown): JobRecord {
   const job = value as JobRecord | null;
   const spec = job?.spec;
@@ -165,8 +219,11 @@
     !isCount(spec.Shards) ||
     !isCount(job!.chunk) ||
     job!.chunk < 1 ||
-    (job!.phase !== 'active' && job!.phase !== 'withdrawn') ||
-    !RANKS.includes(spec.Rank)
+    !PHASES.includes(job!.phase) ||
+    !RANKS.includes(spec.Rank) ||
+    !isListOfJobs(job!.awaits) ||
+    (job!.phase === 'waiting' && job!.awaits === undefined) ||
+    !['number', 'undefined'].includes(typeof job!.releasedAt)
   ) {
     throw new CorruptRecord('job');
   }
--- a/src/ledger/rules.ts
+++ b/src/ledger/rules.ts
@@ -84,6 +84,7 @@
 export function whyNotStart(facts: StartFacts): string | undefined {
   const { job, slot, team, use, machine } = facts;
   if (job === undefined) return 'no such job';
+  if (job.phase === 'waiting') return 'waits for other jobs';
   if (job.phase !== 'active') return 'withdrawn';
   if (slot.kind === 'done') return 'done already';
   if (slot.kind === 'placed') return 'placed already';
--- a/src/placement/queue.ts
+++ b/src/placement/queue.ts
@@ -1,6 +1,6 @@
 import { Priority } from '../net/token-bucket.js';
 import type { Objective, Team } from '../config/settings.js';
-import { RANKS, type JobRecord, type JobSpec, type TeamRecord } from '../ledger/records.js';
+import { RANKS, runnableSince, type JobRecord, type JobSpec, type TeamRecord } from '../ledger/records.js';
 
 /** A job that waits for places, with all that decides about its turn. */
 export interface Candidate {
@@ -13,6 +13,8 @@
   work: number;
   /** None of its tasks has begun, and it has waited for longer than any job should. */
   overdue: boolean;
+  /** Time of day, ms, by which it must start for the sake of the pipeline that it is part of; Infinity: of none, or no matter. */
+  startBy: number;
 }
 
 /** Exits of arrays may wait; those of services and gangs are followed by a start that may not. */
@@ -44,21 +46,29 @@
 export const isBorrowed = (team: Team, use: TeamRecord, spec: JobSpec, kind: 'cpus' | 'cards'): boolean =>
   needOf(spec, kind) > 0 && use[kind] - needOf(spec, kind) >= guaranteed(team, kind);
 
-/** s after its submission by which the operators want such a job to be complete, soonest first. */
-export function targetsOf(spec: JobSpec, objectives: readonly Objective[]): number[] {
+/**
+ * Times of day, ms, by which the operators want a job to be complete. Deadlines count from its submission, however long it
+ * waits for other jobs; all else counts from when it may run.
+ */
+export function targetsOf(record: JobRecord, objectives: readonly Objective[]): number[] {
+  const { spec, at } = record;
   const targets: number[] = [];
   for (const objective of objectives) {
     if (objective.class !== spec.Jobclass) continue;
-    if (objective.kind === 'finished' && objective.within_s !== undefined) targets.push(objective.within_s);
-    if (objective.kind === 'deadline' && spec.DueS !== null) targets.push(spec.DueS * (objective.times ?? 1));
+    if (objective.kind === 'finished' && objective.within_s !== undefined) {
+      targets.push(runnableSince(record) + objective.within_s * 1000);
+    }
+    if (objective.kind === 'deadline' && spec.DueS !== null) {
+      targets.push(at + spec.DueS * (objective.times ?? 1) * 1000);
+    }
   }
-  if (targets.length === 0 && spec.DueS !== null) targets.push(spec.DueS);
-  return targets.sort((a, b) => a - b);
+  if (targets.length === 0 && spec.DueS !== null) targets.push(at + spec.DueS * 1000);
+  return targets;
 }
 
 /** Can one of the targets still be met by a job whose last task needs that long? With no target there is no hurry to lose. */
-export const isFeasible = (record: JobRecord, targets: readonly number[], needS: number, wall: number): boolean =>
-  targets.length === 0 || targets.some((target) => record.at + target * 1000 >= wall + needS * 1000);
+export const isFeasible = (targets: readonly number[], needS: number, wall: number): boolean =>
+  targets.length === 0 || targets.some((target) => target >= wall + needS * 1000);
 
 /** An overdue array stands among those of rank normal, if its own is lower. */
 const rankWith = ({ overdue, record }: Candidate): number => {
@@ -69,7 +79,8 @@
 /**
  * Who goes first: rank; gangs and services before arrays; guarantees; then jobs that can still be in time before those
  * that can't, and among these the ones with the least work left, since that gets the most jobs done in time when more is
- * asked than can be done; then the older. But arrays that should have begun long ago come before other arrays, up to those
+ * asked than can be done; then the older. Of arrays in a pipeline with a deadline, the one goes first that must start first.
+ * But arrays that should have begun long ago come before other arrays, up to those
  * of rank normal, with a few tasks each: by the rest of the order the largest and the lowest might never begin under load.
  */
 export function before(a: Candidate, b: Candidate): number {
@@ -80,8 +91,10 @@
   if (a.overdue !== b.overdue) return a.overdue ? -1 : 1;
   if (a.guaranteed !== b.guaranteed) return a.guaranteed ? -1 : 1;
   if (a.feasible !== b.feasible) return a.feasible ? -1 : 1;
+  if (a.startBy !== b.startBy) return a.startBy - b.startBy;
   if (a.record.spec.Shape === 'array' && a.work !== b.work) return a.work - b.work;
-  if (a.record.at !== b.record.at) return a.record.at - b.record.at;
+  const age = runnableSince(a.record) - runnableSince(b.record);
+  if (age !== 0) return age;
   // Every node makes the whole plan: where orders differ, each leaves a team's room to a job that another node is to place.
   return a.record.spec.Ref < b.record.spec.Ref ? -1 : 1;
 }
--- a/src/state/committer.ts
+++ b/src/state/committer.ts
@@ -2,15 +2,18 @@
   BATCH_TXN_LEAST,
   BATCH_TXN_SHARE,
   BUSY_PAUSE_MS,
+  CONDITIONS_PER_WRITE,
   FINAL_CACHE,
   MAX_FLIGHTS,
   MAX_INTENTS,
+  MAX_TXN_BYTES,
   OUTAGE_PAUSE_MS,
   PACK_MISSES,
   PACK_TRIES,
   URGENT_RETRY_SHARE,
 } from '../constants.js';
 import type { Settings } from '../config/settings.js';
+import { lastingLimits, presentLimits } from '../config/state-limits.js';
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
 import { isBatch, Priority } from '../net/token-bucket.js';
@@ -25,19 +28,31 @@
   batchOps: number;
   conditions: number;
   bytes: number;
+  /** Bytes of one value, now and after an announced change of the limit. */
+  valueBytes: number;
+  lastingValueBytes: number;
 }
 
-export const txnLimits = (state: Settings['cluster']['state']): TxnLimits => ({
-  ops: state.txn_ops,
-  batchOps: Math.min(state.txn_ops, Math.max(BATCH_TXN_LEAST, Math.floor(state.write_rps * BATCH_TXN_SHARE))),
-  conditions: state.txn_ops * 4,
-  // The service takes 64 KiB in total; some is left for the envelope.
-  bytes: 60_000,
-});
+/** Room that is left after an announced change of the store's limits too; but what is stored already may be larger. */
+export function txnLimits(state: Settings['cluster']['state']): TxnLimits {
+  const { transactionWrites, writesPerSecond, valueBytes } = lastingLimits(state);
+  const batchOps = Math.max(BATCH_TXN_LEAST, Math.floor(writesPerSecond * BATCH_TXN_SHARE));
+  return {
+    ops: transactionWrites,
+    batchOps: Math.min(transactionWrites, batchOps),
+    conditions: transactionWrites * CONDITIONS_PER_WRITE,
+    bytes: MAX_TXN_BYTES,
+    valueBytes: presentLimits(state).valueBytes,
+    lastingValueBytes: valueBytes,
+  };
+}
 
 const bytesOf = (key: string, value: unknown): number => key.length + 40 + jsonLength(value);
 const CONDITION_BYTES = 30;
 
+/** The form in which a record is written, of a size that the store takes. */
+export type Resize = (key: string, value: unknown) => unknown;
+
 /**
  * A transaction under construction: every record that a decision reads becomes a condition. A draft over another sees that
  * one's writes; it is merged into it if it is kept, so that trying one more decision costs no more than its own records.
@@ -45,13 +60,15 @@
 export class Draft {
   readonly conditions = new Map<string, number>();
   readonly writes = new Map<string, unknown>();
-  latch: number | undefined;
+  /** The holds that written keys live on. */
+  readonly holds = new Map<string, number>();
   private readonly sizes = new Map<string, number>();
   private bytes = 0;
 
   constructor(
     private readonly read: (key: string) => Stored,
     private readonly below?: Draft,
+    private readonly resize: Resize = (_, value) => value,
   ) {}
 
   /** The draft that this one sees below itself, down to the records, or the one that has written the key already. */
@@ -75,7 +92,13 @@
 
   set(key: string, value: unknown): void {
     if (!this.conditions.has(key)) this.conditions.set(key, this.read(key).stamp);
-    this.writes.set(key, value);
+    this.writes.set(key, this.resize(key, value));
+  }
+
+  /** Sets a key that goes with a hold. */
+  setUnderHold(key: string, value: unknown, latch: number): void {
+    this.set(key, value);
+    this.holds.set(key, latch);
   }
 
   drop(key: string): void {
@@ -83,7 +106,7 @@
   }
 
   over(): Draft {
-    return new Draft(this.read, this);
+    return new Draft(this.read, this, this.resize);
   }
 
   /** Would this draft, merged into the one below it, still be one transaction? */
@@ -94,6 +117,7 @@
     let bytes = below?.bytes ?? 0;
     for (const [key, value] of this.writes) {
       const size = bytesOf(key, value);
+      if (value !== undefined && jsonLength(value) > limits.valueBytes) return false;
       this.sizes.set(key, size);
       const old = below?.sizes.get(key);
       if (old === undefined) writes++;
@@ -114,7 +138,7 @@
     for (const [key, value] of above.writes) this.writes.set(key, value);
     for (const [key, size] of above.sizes) this.sizes.set(key, size);
     this.bytes = above.bytes;
-    this.latch = above.latch ?? this.latch;
+    for (const [key, latch] of above.holds) this.holds.set(key, latch);
   }
 }
 
@@ -129,7 +153,9 @@
   /** The decision fell away, or is too large for a transaction. */
   | { kind: 'void' }
   /** Given up; it may or may not have happened. */
-  | { kind: 'expired' };
+  | { kind: 'expired' }
+  /** The store takes no change of that form or size, and has changed nothing. */
+  | { kind: 'rejected'; why: string };
 
 /** Whom an intent goes along with. */
 export interface Company {
@@ -146,6 +172,8 @@
   deadline: number;
   resolve: (outcome: Outcome) => void;
   company: Company | undefined;
+  /** The store has rejected a transaction that it was part of: it is tried by itself. */
+  isAlone: boolean;
 }
 
 const isUsers = (priority: Priority): boolean => priority === Priority.withdraw || priority === Priority.accept;
@@ -161,17 +189,24 @@
   private waking = false;
   /** Told what this node's transactions have changed. */
   announce: (changes: Change[]) => void = () => undefined;
+  /** Told of each decision that the store does not take. */
+  onRejected: (name: string, why: string) => void = () => undefined;
+  /** The form in which records are written. */
+  resize: Resize = (_, value) => value;
+  private limits: TxnLimits;
 
   constructor(
     private readonly client: StateClient,
     private readonly replica: Replica,
-    private readonly limits: TxnLimits,
+    limits: TxnLimits,
     private readonly prefix: string,
     private readonly clock: Clock,
     private readonly random: Random,
     /** ms that batch work waits for more of its kind. */
     private readonly gatherMs = 0,
-  ) {}
+  ) {
+    this.limits = limits;
+  }
 
   /** Intents that go before whatever has a higher number. */
   backlog(upTo: Priority): number {
@@ -195,7 +230,7 @@
     const queue = this.queues.get(priority)!;
     if (queue.length >= MAX_INTENTS) return Promise.resolve({ kind: 'expired' });
     return new Promise((resolve) => {
-      queue.push({ name, priority, decide, deadline: this.clock.now() + timeoutMs, resolve, company });
+      queue.push({ name, priority, decide, deadline: this.clock.now() + timeoutMs, resolve, company, isAlone: false });
       // Starts take room that the other nodes can't see until they are recorded, so they do not wait.
       if (priority !== Priority.record) this.wake();
       else if (queue.length === 1) this.gather(priority);
@@ -237,7 +272,7 @@
   private pack(queue: Intent[]): { batch: Intent[]; draft: Draft } | undefined {
     const now = this.clock.now();
     const batch: Intent[] = [];
-    const draft = new Draft(this.read);
+    const draft = new Draft(this.read, undefined, this.resize);
     const later: Intent[] = [];
     const touched = new Set<string>();
     let shared: string | undefined;
@@ -253,7 +288,8 @@
       const along = intent.company !== undefined && draft.writes.has(intent.company.key);
       // Each record that all nodes change may make the whole transaction fail, and a refused one counts as much as another.
       const other = intent.company?.shared;
-      if (shared !== undefined && other !== undefined && other !== shared) {
+      const isApart = batch.length > 0 && (intent.isAlone || batch[0]!.isAlone);
+      if (isApart || (shared !== undefined && other !== undefined && other !== shared)) {
         later.push(intent);
         continue;
       }
@@ -295,11 +331,7 @@
     const keys = [...draft.writes.keys()];
     for (const key of keys) this.locked.add(key);
     const conditions: Condition[] = [...draft.conditions].map(([key, stamp]) => ({ key, stamp }));
-    const writes: Write[] = [...draft.writes].map(([key, value]) => ({
-      key,
-      value,
-      latch: key.startsWith(`${this.prefix}claim/`) ? draft.latch : undefined,
-    }));
+    const writes: Write[] = [...draft.writes].map(([key, value]) => ({ key, value, latch: draft.holds.get(key) }));
     const result = await this.client.txn(conditions, writes, priority);
     switch (result.kind) {
       case 'done':
@@ -321,8 +353,11 @@
         if (result.status !== 429 && isUsers(priority)) for (const intent of batch) intent.resolve({ kind: 'expired' });
         else this.again(batch);
         break;
-      default:
+      case 'no_hold':
         for (const intent of batch) intent.resolve({ kind: 'void' });
+        break;
+      case 'malformed':
+        this.reject(batch, result.why);
     }
     for (const key of keys) this.locked.delete(key);
     this.flights.set(priority, this.flights.get(priority)! - 1);
@@ -331,6 +366,22 @@
     this.wake();
   }
 
+  /**
+   * The store's limits have changed, or a decision asks for what it never takes. Each decision is made again by itself, within
+   * the limits to come; one that is rejected even so is given up.
+   */
+  private reject(batch: Intent[], why: string): void {
+    this.limits = { ...this.limits, valueBytes: this.limits.lastingValueBytes };
+    const [first] = batch;
+    if (batch.length > 1 || first === undefined) {
+      for (const intent of batch) intent.isAlone = true;
+      this.again(batch);
+      return;
+    }
+    this.onRejected(first.name, why);
+    first.resolve({ kind: 'rejected', why });
+  }
+
   private pause(priority: Priority, busy: boolean): void {
     const ms = busy ? (isBatch(priority) ? BUSY_PAUSE_MS : BUSY_PAUSE_MS * URGENT_RETRY_SHARE) : OUTAGE_PAUSE_MS;
     this.pausedUntil.set(priority, this.clock.now() + this.random.jitter(ms, 0.5));
--- a/src/state/sizes.ts
+++ b/src/state/sizes.ts
@@ -1,10 +1,12 @@
-/** JSON lengths of values that are never changed after they were made: a record is measured once, not at every try. */
+/** Bytes that values take as JSON; of values that are never changed after they were made: a record is measured once, not at every try. */
 const known = new WeakMap<object, number>();
 
+const bytesOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value) ?? '');
+
 export function jsonLength(value: unknown): number {
-  if (typeof value !== 'object' || value === null) return JSON.stringify(value)?.length ?? 0;
+  if (typeof value !== 'object' || value === null) return bytesOf(value);
   let length = known.get(value);
-  if (length === undefined) known.set(value, (length = JSON.stringify(value).length));
+  if (length === undefined) known.set(value, (length = bytesOf(value)));
   return length;
 }
 
