--- a/src/testing/fake-store.ts
+++ b/src/testing/fake-store.ts
@@ -10,6 +10,17 @@
   latch: number | undefined;
 }
 
+/** What the store takes; everything else gets 400 or 429. */
+export interface StoreLimits {
+  /** Bytes of a value. */
+  valueBytes: number;
+  /** Changes in one transaction; of conditions it takes four times as many. */
+  transactionWrites: number;
+  writesPerSecond: number;
+}
+
+const CONDITIONS_PER_WRITE = 4;
+
 interface TxnBody {
   If?: { K: string; Stamp: number }[];
   Apply?: { Set?: string; Drop?: string; V?: unknown; Latch?: number }[];
@@ -27,6 +38,12 @@
   out = false;
   /** Every request takes that long: half of it before it is carried out, half after. Watches and holds too. */
   slowMs = 0;
+  /** Undefined: everything is taken. May change at any moment. */
+  limits: StoreLimits | undefined;
+  /** Changes that may still be made now, and the ms as of which that is known. */
+  private writesLeft = { count: Infinity, at: 0 };
+  /** Requests that were refused for their size. */
+  tooLarge = 0;
   /** Nodes whose every request gets 503 while the others are served; their open watches wait, as in an outage. */
   readonly refused = new Set<string>();
 
@@ -91,6 +108,8 @@
 
   private txn(body: TxnBody): Reply {
     const writes = body.Apply ?? [];
+    const refusal = this.refusal(body);
+    if (refusal !== undefined) return refusal;
     if (writes.some((each) => each.Latch !== undefined && !this.holds.has(each.Latch))) {
       return { status: 400, body: { error: 'no such lease' } };
     }
@@ -102,6 +121,24 @@
     return { status: 200, body: { Epoch: this.epoch } };
   }
 
+  /** What the limits say to a transaction. */
+  private refusal({ If = [], Apply = [] }: TxnBody): Reply | undefined {
+    if (this.limits === undefined) return undefined;
+    const { valueBytes, transactionWrites, writesPerSecond } = this.limits;
+    const bytes = Math.max(0, ...Apply.map(({ V }) => (V === undefined ? 0 : Buffer.byteLength(JSON.stringify(V)))));
+    const isTooMuch = Apply.length > transactionWrites || If.length > transactionWrites * CONDITIONS_PER_WRITE;
+    if (isTooMuch || bytes > valueBytes) {
+      this.tooLarge++;
+      return { status: 400, body: { error: `too large: ${Apply.length} changes, ${bytes} bytes` } };
+    }
+    const now = this.clock.now();
+    const regained = ((now - this.writesLeft.at) / 1000) * writesPerSecond;
+    this.writesLeft = { count: Math.min(writesPerSecond, this.writesLeft.count + regained), at: now };
+    if (this.writesLeft.count < Apply.length) return { status: 429, body: { error: 'too many changes' } };
+    this.writesLeft.count -= Apply.length;
+    return undefined;
+  }
+
   private change(writes: NonNullable<TxnBody['Apply']>): void {
     this.epoch++;
     for (const each of writes) {
--- a/src/testing/invariant-checker.ts
+++ b/src/testing/invariant-checker.ts
@@ -2,6 +2,7 @@
  * Checks a scenario by the protocol's rules alone: by what ran on the machines and by what users were told. It knows nothing
  * of the product's records.
  */
+import { PipelineChecker } from './pipeline-checker.js';
 
 export type Rule =
   | 'ran_twice'
@@ -14,7 +15,9 @@
   | 'not_done'
   | 'went_back'
   | 'wrongly_accepted'
-  | 'left_waiting';
+  | 'left_waiting'
+  | 'too_early'
+  | 'orphaned';
 
 /** ms without an answer to any question about a job after which it counts as forgotten, once all troubles are over. */
 const FORGOTTEN_MS = 75_000;
@@ -36,6 +39,7 @@
   OneZone: boolean;
   Spread: boolean;
   Reclaimable: boolean;
+  Awaits?: string[] | null;
 }
 
 export interface InvariantCheckerOptions {
@@ -120,6 +124,7 @@
   SnapshotEveryS: isAmount,
   SnapshotS: isAmount,
   DueS: orNull(isAmount),
+  Awaits: orNull((value) => Array.isArray(value) && value.every(isText)),
 };
 
 /** The first field that is missing or invalid. */
@@ -143,8 +148,11 @@
   private readonly jobs = new Map<string, Job>();
   private readonly runs = new Set<Run>();
   private calmSince = Infinity;
+  private readonly pipelines: PipelineChecker;
 
-  constructor(private readonly options: InvariantCheckerOptions) {}
+  constructor(private readonly options: InvariantCheckerOptions) {
+    this.pipelines = new PipelineChecker((ref) => this.jobs.get(ref), options.cancelS * 1000);
+  }
 
   /** What was broken, in words; empty if all is well. */
   verdict(at: number): string[] {
@@ -202,6 +210,8 @@
       if (orderedAt > cancelledAt) this.breaks('started_cancelled', at, what);
       else this.lateStarts.push(what);
     }
+    const open = this.pipelines.openPredecessor(job);
+    if (open !== undefined) this.breaks('too_early', at, `${shard} on ${host}, before ${open} is done`);
     const machine = this.machines.get(host);
     if (spec !== undefined && machine !== undefined) {
       const why = this.whyWrongPlace(spec, machine);
@@ -299,7 +309,7 @@
     if (status !== 200 && status !== 201) return;
     if (job === undefined) return this.breaks('invented', at, `${kind} of ${ref}: ${phase}`);
     if (job.acceptedAt === undefined) {
-      const why = this.whyNever(job.spec);
+      const why = this.whyNever(job.spec) ?? this.whyNeverReleased(job);
       if (why !== undefined) this.breaks('wrongly_accepted', at, `${ref}: ${why}`);
     }
     job.acceptedAt ??= at;
@@ -317,9 +327,18 @@
       if (toldAt !== undefined && toldAt < askedAt) {
         this.breaks('went_back', at, `${kind} of ${ref}: ${phase}, was ${final}`);
       }
+      const orphanedForMs = this.pipelines.orphanedForMs(job, at);
+      if (orphanedForMs !== undefined) {
+        this.breaks(
+          'orphaned',
+          at,
+          `${kind} of ${ref}: ${phase}, a job before it is cancelled for ${orphanedForMs} ms`,
+        );
+      }
     }
     if (phase === 'withdrawn') {
-      if (job.cancelAskedAt === undefined) this.breaks('went_back', at, `${ref} withdrawn, though not by its user`);
+      if (job.cancelAskedAt === undefined && !this.pipelines.mayBeCancelled(job))
+        this.breaks('went_back', at, `${ref} withdrawn, though not by its user`);
       job.cancelledAt ??= at;
     }
     if (phase === 'done') {
@@ -340,6 +359,11 @@
     this.breaks('forgotten', at, `no question about ${ref} was answered`);
   }
 
+  private whyNeverReleased(job: Job): string | undefined {
+    const unknown = this.pipelines.unknownPredecessor(job);
+    return unknown === undefined ? undefined : `needs ${unknown}, which nobody has submitted`;
+  }
+
   /** Why a job can never run, or is malformed. */
   private whyNever(spec: JobFields | undefined): string | undefined {
     if (spec === undefined) return 'a field is missing or invalid';
@@ -385,8 +409,10 @@
   }
 
   /** Does a task of the job (of a gang: all that are missing) wait that could start at once? */
-  private hasRoom({ spec, acceptedAt, cancelAskedAt, done }: Job): boolean {
+  private hasRoom(job: Job): boolean {
+    const { spec, acceptedAt, cancelAskedAt, done } = job;
     if (spec === undefined || acceptedAt === undefined || cancelAskedAt !== undefined) return false;
+    if (this.pipelines.openPredecessor(job) !== undefined) return false;
     const on = this.tasksOf(spec.Ref);
     const missing = spec.Shards - done.size - new Set(on.map((run) => run.shard)).size;
     if (missing <= 0) return false;
--- /dev/null
+++ b/src/testing/pipeline-checker.ts
@@ -0,0 +1,55 @@
+/** The rules about jobs that wait for others, as the invariant checker asks for them: what came before what. */
+
+/** What the invariant checker knows of a job. */
+export interface CheckedJob {
+  spec?: { Shards: number; Awaits?: readonly string[] | null };
+  done: ReadonlySet<number>;
+  cancelledAt?: number;
+  cancelAskedAt?: number;
+}
+
+export class PipelineChecker {
+  constructor(
+    private readonly jobOf: (ref: string) => CheckedJob | undefined,
+    /** ms within which a cancellation must have reached the jobs after it. */
+    private readonly cancelMs: number,
+  ) {}
+
+  /** A job before this one of which not all tasks are done, if there is any. */
+  openPredecessor(job: CheckedJob): string | undefined {
+    return job.spec?.Awaits?.find((ref) => {
+      const before = this.jobOf(ref);
+      return before?.spec === undefined || before.done.size < before.spec.Shards;
+    });
+  }
+
+  /** A job before this one that was never submitted, if there is any. */
+  unknownPredecessor(job: CheckedJob): string | undefined {
+    return job.spec?.Awaits?.find((ref) => this.jobOf(ref)?.spec === undefined);
+  }
+
+  /** Has a user asked to cancel a job before this one, directly or through others? */
+  mayBeCancelled(job: CheckedJob): boolean {
+    return this.before(job).some(({ cancelAskedAt }) => cancelAskedAt !== undefined);
+  }
+
+  /** ms since the user of a job before this one was told of its cancellation, where that is longer than allowed. */
+  orphanedForMs(job: CheckedJob, at: number): number | undefined {
+    const ages = this.before(job).map(({ cancelledAt }) => at - (cancelledAt ?? Infinity));
+    const longest = Math.max(...ages, -Infinity);
+    return longest > this.cancelMs ? longest : undefined;
+  }
+
+  private before(job: CheckedJob): CheckedJob[] {
+    const found = new Set(job.spec?.Awaits ?? []);
+    const jobs: CheckedJob[] = [];
+    for (const ref of found) {
+      const before = this.jobOf(ref);
+      if (before === undefined) continue;
+      jobs.push(before);
+      // A set hands out what is added to it while it is looked through.
+      for (const each of before.spec?.Awaits ?? []) found.add(each);
+    }
+    return jobs;
+  }
+}
--- /dev/null
+++ b/test/pipelines.test.ts
@@ -0,0 +1,201 @@
+import assert from 'node:assert/strict';
+import { afterEach, describe, it } from 'node:test';
+import { Cluster } from '../src/testing/cluster.js';
+import type { ClusterOptions } from '../src/testing/fixtures.js';
+
+let cluster: Cluster;
+afterEach(() => assert.deepEqual(cluster.verdict(), []));
+
+const LATER = { value_kb: 2, txn_ops: 4, write_rps: 15 };
+
+async function ready(nodes = 3, options: ClusterOptions = {}, machines = 3, runMs = 3000): Promise<Cluster> {
+  const cluster_ = { state: { rps: 250, write_rps: 15, value_kb: 4, txn_ops: 12, next: LATER } };
+  cluster = new Cluster({ nodes, cluster: cluster_, ...options });
+  for (let n = 0; n < machines; n++) cluster.addWorker({ host: `i-00000${n}`, site: 'abc'[n % 3]!, runMs });
+  await cluster.advance(6000);
+  return cluster;
+}
+
+const submit = async (Ref: string, Awaits: unknown, fields: object = {}, node = 0) =>
+  (await cluster.submit({ Ref, Awaits, ...fields }, node)).status;
+const phase = async (ref: string, node = 0) => ((await cluster.poll(ref, node)).body as { Phase: string }).Phase;
+const startOf = (shard: string) => cluster.runs(shard)[0]?.from ?? Infinity;
+const endOf = (shard: string) => cluster.runs(shard)[0]?.to ?? Infinity;
+const recordOf = (ref: string) =>
+  cluster.store.rows.get(`live/job/${ref}`)?.value as { phase: string; awaits?: string[] } | undefined;
+
+describe('a job that names others', () => {
+  it('starts soon after the last of them is done', async () => {
+    await ready(3, {}, 3, 14_000);
+    assert.equal(await submit('j-a', null, { Shards: 2 }), 201);
+    assert.equal(await submit('j-b', [], { Owner: 'red' }, 1), 201);
+    assert.equal(await submit('j-c', ['j-a', 'j-b', 'j-a'], { Shards: 2 }, 2), 201);
+    assert.equal(await submit('j-d', ['j-c'], {}, 1), 201);
+    assert.equal(await phase('j-d', 2), 'queued');
+    await cluster.advance(45_000);
+    const before = Math.max(endOf('j-a/0'), endOf('j-a/1'), endOf('j-b/0'));
+    assert.ok(startOf('j-c/0') >= before && startOf('j-c/0') < before + 2500);
+    assert.equal(await phase('j-d', 1), 'done');
+  });
+
+  it('that are all done, also long ago, starts at once', async () => {
+    await ready();
+    assert.equal(await submit('j-a', null), 201);
+    await cluster.advance(8000);
+    // No node has seen how it ended.
+    for (const node of [0, 1, 2]) cluster.crash(node);
+    for (const node of [0, 1, 2]) cluster.start(node);
+    await cluster.advance(6000);
+    assert.equal(await submit('j-b', ['j-a'], {}, 1), 201);
+    await cluster.advance(5000);
+    assert.equal(await phase('j-b', 2), 'done');
+  });
+
+  it('is refused if one was never accepted, is the job itself or a service, or names are malformed', async () => {
+    await ready(2);
+    assert.equal(await submit('j-svc', null, { Shape: 'service', GuessS: 0 }), 201);
+    assert.equal(await submit('j-a', ['j-nobody']), 422);
+    assert.equal(await submit('j-a', ['j-a']), 422);
+    assert.equal(await submit('j-a', ['j-svc'], {}, 1), 422);
+    const many = Array.from({ length: 300 }, (_, n) => `j-${'x'.repeat(90)}${n}`);
+    assert.equal(await submit('j-a', many), 422);
+    for (const wrong of ['j-svc', [7], [null], ['svc'], {}, 3]) assert.equal(await submit('j-a', wrong), 400);
+    assert.equal((await cluster.poll('j-a')).status, 404);
+    // What is known keeps its state, whatever the repeat says.
+    assert.equal(await submit('j-b', null), 201);
+    assert.equal(await submit('j-b', ['j-nobody']), 200);
+    assert.equal(await submit('j-b', 'odd'), 200);
+  });
+
+  it('that the node has not heard of yet is taken, and told to come back while the store is out of reach', async () => {
+    await ready(2);
+    cluster.parted.add('n0>n1');
+    cluster.network.fault({ from: 'n1', to: 'store:1', path: /^\/watch/, kind: 'lose' });
+    assert.equal(await submit('j-a', null, {}, 0), 201);
+    assert.equal(await submit('j-b', ['j-a'], {}, 1), 201);
+    cluster.store.refused.add('n1');
+    assert.equal(await submit('j-c', ['j-new'], {}, 1), 503);
+  });
+
+  it('holds no part of its team while it waits', async () => {
+    await ready(2, { teams: [{ name: 'red', cpus_max: 4 }] });
+    assert.equal(await submit('j-a', null, { Shards: 2 }), 201);
+    assert.equal(await submit('j-wait', ['j-a'], { Shards: 2 }), 201);
+    assert.deepEqual(cluster.store.rows.get('live/team/red')?.value, { cpus: 4, cards: 0 });
+    await cluster.advance(10_000);
+    assert.equal(await phase('j-wait'), 'done');
+  });
+});
+
+describe('a cancellation', () => {
+  it('reaches all jobs after it over any number of levels, also new ones, and none before it', async () => {
+    await ready(3, {}, 3, 100_000);
+    assert.equal(await submit('j-0', null), 201);
+    for (let n = 1; n <= 12; n++) assert.equal(await submit(`j-${n}`, [`j-${n - 1}`], {}, n % 3), 201);
+    assert.equal((await cluster.withdraw('j-2', 1)).status, 200);
+    for (const node of [0, 1, 2]) assert.equal(await phase('j-12', node), 'withdrawn');
+    assert.equal(await phase('j-1'), 'queued');
+    const late = await cluster.submit({ Ref: 'j-late', Awaits: ['j-12'] }, 2);
+    assert.equal(late.status, 201);
+    assert.equal((late.body as { Phase: string }).Phase, 'withdrawn');
+    await cluster.advance(15_000);
+    assert.equal(recordOf('j-12'), undefined);
+    assert.equal(recordOf('j-1')?.phase, 'waiting');
+    assert.equal(await phase('j-0'), 'running');
+  });
+
+  it('that comes with the last exit ends in one of two ways for the whole pipeline', async () => {
+    for (const afterMs of [0, 20, 60, 150, 400]) {
+      await ready(3);
+      assert.equal(await submit('j-a', null), 201);
+      assert.equal(await submit('j-b', ['j-a'], {}, 1), 201);
+      await cluster.until(() => endOf('j-a/0') < Infinity, 10_000);
+      await cluster.advance(afterMs);
+      const told = ((await cluster.withdraw('j-a', 2)).body as { Phase: string }).Phase;
+      await cluster.advance(8000);
+      assert.equal(await phase('j-b', 1), told);
+      assert.deepEqual(cluster.verdict(), []);
+    }
+  });
+
+  it('that is confirmed as the store goes away is never answered with an older word once it is due', async () => {
+    await ready(3, {}, 3, 100_000);
+    assert.equal(await submit('j-a', null), 201);
+    assert.equal(await submit('j-b', ['j-a'], {}, 1), 201);
+    assert.equal(await submit('j-c', ['j-b'], {}, 2), 201);
+    // The other nodes do not hear of it.
+    for (const node of ['n1', 'n2']) cluster.parted.add(`n0>${node}`);
+    const cancelled = cluster.cancel('j-a', 0);
+    await cluster.until(() => recordOf('j-a')?.phase === 'withdrawn', 2000);
+    cluster.store.out = true;
+    await cluster.during(cancelled, 100);
+    for (let s = 0; s < 40; s += 5) {
+      await cluster.advance(3000);
+      for (const node of [1, 2]) await cluster.poll('j-c', node);
+    }
+    cluster.parted.clear();
+    cluster.store.endOutage();
+    await cluster.advance(5000);
+    for (const node of [0, 1, 2]) assert.equal(await phase('j-c', node), 'withdrawn');
+  });
+});
+
+describe('a waiting job goes on', () => {
+  it('when the node that ended the last job before it is gone, and nobody has told', async () => {
+    await ready(3);
+    assert.equal(await submit('j-a', null), 201);
+    assert.equal(await submit('j-b', ['j-a'], {}, 1), 201);
+    // The end is recorded without its successor's release, as by a version that knows none.
+    await cluster.until(() => endOf('j-a/0') < Infinity, 10_000);
+    const waiting = cluster.store.rows.get('live/job/j-b')!;
+    await cluster.until(() => cluster.store.rows.has('ended/j-a'), 5000);
+    for (const node of [0, 1, 2]) cluster.crash(node);
+    cluster.store.rows.set('live/job/j-b', { ...waiting, stamp: ++cluster.store.epoch });
+    for (const node of [0, 1, 2]) cluster.start(node);
+    await cluster.advance(12_000);
+    assert.equal(await phase('j-b'), 'done');
+  });
+
+  it('through a crash of all nodes, and under limits that shrink at any moment', async () => {
+    await ready(3);
+    assert.equal(await submit('j-a', null, { Shards: 3 }), 201);
+    for (let n = 0; n < 6; n++) assert.equal(await submit(`j-b${n}`, ['j-a'], {}, n % 3), 201);
+    const fan = Array.from({ length: 6 }, (_, n) => `j-b${n}`);
+    assert.equal(await submit('j-c', fan, { Shape: 'ensemble', Shards: 3 }, 1), 201);
+    cluster.store.limits = { valueBytes: 2048, transactionWrites: 4, writesPerSecond: 15 };
+    await cluster.advance(3000);
+    for (const node of [0, 1, 2]) cluster.crash(node);
+    await cluster.advance(1000);
+    for (const node of [0, 1, 2]) cluster.start(node);
+    await cluster.advance(30_000);
+    assert.equal(await phase('j-c', 2), 'done');
+    assert.equal(cluster.store.tooLarge, 0);
+  });
+});
+
+describe('the urgency of a job', () => {
+  it('is that of the most urgent job that needs it, and follows as such jobs come and go', async () => {
+    await ready(2, {}, 1, 60_000);
+    const rank = (ref: string) => cluster.node(0).book.jobs.get(ref)?.record.spec.Rank;
+    assert.equal(await submit('j-a', null, { Rank: 'low', GuessS: 20 }), 201);
+    assert.equal(await submit('j-b', ['j-a'], { Rank: 'low', GuessS: 30 }), 201);
+    assert.equal(rank('j-a'), 'low');
+    assert.equal(await submit('j-c', ['j-b'], { Rank: 'high', DueS: 300, GuessS: 10 }), 201);
+    assert.equal(rank('j-a'), 'high');
+    const { finishBy } = cluster.node(0).book.jobs.get('j-a')!;
+    const { at } = cluster.node(0).book.jobs.get('j-c')!.record;
+    assert.equal(finishBy, at + (300 - 10 - 30) * 1000);
+    assert.equal((await cluster.withdraw('j-c')).status, 200);
+    assert.equal(rank('j-a'), 'low');
+  });
+
+  it('lets the first step of an urgent pipeline pass work of its own rank', async () => {
+    await ready(2, { teams: [{ name: 'red' }] }, 1, 15_000);
+    assert.equal(await submit('j-full', null, { Cpus: 8, MemGb: 60 }), 201);
+    assert.equal(await submit('j-other', null, { Cpus: 8, MemGb: 60, Rank: 'normal', GuessS: 1 }), 201);
+    assert.equal(await submit('j-a', null, { Cpus: 8, MemGb: 60, Rank: 'low' }), 201);
+    assert.equal(await submit('j-b', ['j-a'], { Rank: 'high', DueS: 100 }), 201);
+    await cluster.advance(60_000);
+    assert.ok(startOf('j-a/0') < startOf('j-other/0'));
+  });
+});
