Upgrade scenarios: processes of the version in production change over beside the present one

Before the invariant checker knew that a job whose predecessor was cancelled after its last task is cancelled with it, it called one such job left waiting.

--- a/src/controller/job-reactions.ts
+++ b/src/controller/job-reactions.ts
@@ -8,6 +8,7 @@
 import type { PipelineProgress } from './pipeline-progress.js';
 import { isLarge } from './placer.js';
 import type { Planner } from './planner.js';
+import { isResponsibleFor } from './responsibility.js';
 
 export interface JobReactionsDependencies {
   claims: Claims;
@@ -25,13 +26,15 @@
 
   /** `shards`: of the job's ledger only these have changed; undefined: its record has. */
   jobChanged(ref: string, shards?: readonly number[]): void {
-    const { book, planner, completion, pipelineProgress } = this.dependencies;
+    const { claims, book, planner, completion, pipelineProgress } = this.dependencies;
     const view = book.jobs.get(ref);
     if (shards === undefined) pipelineProgress.jobChanged(ref);
     planner.poke(view !== undefined && this.isUrgent(view));
     if (view === undefined) return;
     for (const shard of shards ?? [...view.known()].map(([each]) => each)) this.tellWorker(view, shard);
-    if (view.placed === 0 && (view.record.phase === 'withdrawn' || view.complete)) void completion.complete(ref);
+    // All nodes see the end at the same moment: changes that fail for another node's being first count like others.
+    const isOver = view.placed === 0 && (view.record.phase === 'withdrawn' || view.complete);
+    if (isOver && isResponsibleFor(claims, ref)) void completion.complete(ref);
   }
 
   /** Tells the machine of a task what it is to do about it, where that is new. */
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -20,8 +20,7 @@
 import { isWithin, quotaAllows, takeRoom, type Room } from '../ledger/rules.js';
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
-import { Priority } from '../net/token-bucket.js';
-import { before, isFeasible, targetsOf, withinGuarantee, type Candidate } from '../placement/queue.js';
+import { before, isFeasible, startPriority, targetsOf, withinGuarantee, type Candidate } from '../placement/queue.js';
 import { roomOfFlavor } from '../placement/renting.js';
 import type { Committer, Draft } from '../state/committer.js';
 import { LEADER, partitionRole, type Claims } from './claims.js';
@@ -335,7 +334,7 @@
         const flying = this.flying.get(view.ref) ?? new Set();
         this.flying.set(view.ref, flying.add(choice.waiting.shard));
       }
-      const priority = view.record.spec.Shape === 'array' ? Priority.background : Priority.start;
+      const priority = startPriority(view.record.spec);
       void this.committer
         .commit(
           'start',
--- a/src/placement/queue.ts
+++ b/src/placement/queue.ts
@@ -21,6 +21,10 @@
 export const exitPriority = (spec: JobSpec | undefined): Priority =>
   spec?.Shape === 'array' ? Priority.record : Priority.start;
 
+/** Starts of arrays may wait, unless they are of a rank, or in a pipeline of a rank, that is urgent. */
+export const startPriority = (spec: JobSpec): Priority =>
+  spec.Shape === 'array' && RANKS.indexOf(spec.Rank) >= RANKS.indexOf('normal') ? Priority.background : Priority.start;
+
 /** The resource by which a job counts against its team's guarantee; 0 means that the team has none of that kind. */
 export function guaranteeOf(team: Team, spec: JobSpec): 'cpus' | 'cards' | undefined {
   if (spec.Cards > 0 && team.gpus > 0) return 'cards';
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -22,7 +22,17 @@
 /** ms between two looks at whether something has come about. */
 const UNTIL_STEP_MS = 5;
 
+/** A version of the program, as far as the stand-ins need to know one from another. */
+export interface ProgramVersion {
+  Controller: typeof Controller;
+  encodeMessage: typeof encodeMessage;
+  decodeMessage: typeof decodeMessage;
+}
+
+const PRESENT_VERSION: ProgramVersion = { Controller, encodeMessage, decodeMessage };
+
 interface Node {
+  version: ProgramVersion;
   controller: Controller;
   stop: AbortController;
   freezer: Freezer;
@@ -61,6 +71,8 @@
   private readonly gangs: FakeGangs;
   private readonly random = new Random(11);
   private readonly nodes = new Map<string, Node>();
+  /** The version that each node runs from its next start on, where it is not the present one. */
+  private readonly versions = new Map<number, ProgramVersion>();
   private readonly leaseS: number;
   private readonly ticking = new AbortController();
 
@@ -90,7 +102,10 @@
       this.random,
     );
     this.network.weather = (from, to) => this.weather(from, to.split(':')[0]!);
-    for (let index = 0; index < (options.nodes ?? 1); index++) this.start(index);
+    for (let index = 0; index < (options.nodes ?? 1); index++) {
+      if (options.version !== undefined) this.versions.set(index, options.version);
+      this.start(index);
+    }
     void this.tick();
   }
 
@@ -112,8 +127,9 @@
     const tuning = { ...DEFAULT_TUNING, ...this.options.tuning };
     const freezer = new Freezer(this.clock);
     const client = freezer.client(this.network.client(settings.node), stop.signal);
-    const controller = new Controller(settings, tuning, client, freezer.thawed, noLog, 7 + index);
-    const node = { controller, stop, freezer };
+    const version = this.versions.get(index) ?? PRESENT_VERSION;
+    const controller = new version.Controller(settings, tuning, client, freezer.thawed, noLog, 7 + index);
+    const node = { version, controller, stop, freezer };
     this.nodes.set(settings.node, node);
     this.network.serve(`${settings.node}:8080`, async (_method, path, body) => {
       const answer = await freezer.serve(path, () => controller.hello(body));
@@ -124,6 +140,11 @@
     void controller.duties(stop.signal);
   }
 
+  /** From its next start on, the node runs the present version. */
+  upgrade(index: number): void {
+    this.versions.delete(index);
+  }
+
   /** Ends a node without a word. What it has sent stays on its way. */
   crash(index: number): void {
     this.nodes.get(`n${index}`)?.stop.abort();
@@ -254,10 +275,10 @@
   }
 
   private carry(from: string, to: string, message: Message): boolean {
-    const bytes = encodeMessage(message);
+    const bytes = (this.nodes.get(from)?.version ?? PRESENT_VERSION).encodeMessage(message);
     this.network.post(from, to, () => {
       const node = this.nodes.get(to);
-      void node?.freezer.pass().then(() => node.controller.receive(decodeMessage(bytes)));
+      void node?.freezer.pass().then(() => node.controller.receive(node.version.decodeMessage(bytes)));
     });
     return true;
   }
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -1,6 +1,7 @@
 /** Settings, jobs and machine types that scenarios start from. */
 import { parseSettings, type Settings, type Tuning } from '../config/settings.js';
 import type { Log } from '../controller/log.js';
+import type { ProgramVersion } from './cluster.js';
 
 export const noLog: Log = {
   error: () => undefined,
@@ -18,6 +19,8 @@
   flavors?: Record<string, unknown>[];
   /** Rented machines are up after so many ms; without it they never are. */
   bootMs?: number;
+  /** The version of the program that all nodes run at first; the present one if it is not given. */
+  version?: ProgramVersion;
   /** How long tasks run on rented machines. */
   runMs?: number;
 }
--- a/src/testing/pipeline-checker.ts
+++ b/src/testing/pipeline-checker.ts
@@ -33,6 +33,11 @@
     return this.before(job).some(({ cancelAskedAt }) => cancelAskedAt !== undefined);
   }
 
+  /** Has the user of a job before this one been told that it is cancelled? Its tasks may all have ended by then. */
+  isCancelled(job: CheckedJob): boolean {
+    return this.before(job).some(({ cancelledAt }) => cancelledAt !== undefined);
+  }
+
   /** ms since the user of a job before this one was told of its cancellation, where that is longer than allowed. */
   orphanedForMs(job: CheckedJob, at: number): number | undefined {
     const ages = this.before(job).map(({ cancelledAt }) => at - (cancelledAt ?? Infinity));
--- a/src/testing/random-schedule.ts
+++ b/src/testing/random-schedule.ts
@@ -125,7 +125,8 @@
   trouble('cancelAtEnd', { forMs }),
   trouble('oddRequests', { forMs: fc.constant(0) }),
 ];
-const anyTrouble = fc.oneof(...smallTroubles);
+/** A trouble of any kind that small scenarios know. */
+export const anyTrouble = fc.oneof(...smallTroubles);
 
 /** What the first scenarios lacked: answers and reports lost at random, a store too busy to write, owners out of reach. */
 const anyTroubleOfLarge = fc.oneof(
--- /dev/null
+++ b/src/testing/upgrade-scenario.ts
@@ -0,0 +1,190 @@
+/**
+ * Scenarios of an upgrade and of what it brings: processes change over to the present version in random order, while users
+ * submit and cancel and troubles come; then pipelines are submitted, the store's limits shrink, and more troubles come.
+ */
+import fc from 'fast-check';
+import { Random } from '../net/random.js';
+import { Cluster, type ProgramVersion } from './cluster.js';
+import { FaultInjector, lastsMs } from './fault-injector.js';
+import { jobOf } from './fixtures.js';
+import { anyTrouble, MACHINES, NODES, SITES, SPELL_MS, type Trouble } from './random-schedule.js';
+
+export interface UpgradeSchedule {
+  seed: number;
+  /** The nodes in the order in which they change over, and ms before each does. */
+  order: number[];
+  gapsMs: number[];
+  /** Troubles during the upgrade, and after it. */
+  during: Trouble[];
+  after: Trouble[];
+  /** ms after the upgrade at which the store's limits shrink. */
+  shrinkMs: number;
+  /** ms after the upgrade at which users cancel a job each. */
+  cancelsMs: number[];
+}
+
+const gapMs = fc.integer({ min: 500, max: 8000 });
+
+const schedules: fc.Arbitrary<UpgradeSchedule> = fc.record({
+  seed: fc.integer({ min: 1, max: 1_000_000 }),
+  order: fc.shuffledSubarray([0, 1, 2], { minLength: NODES, maxLength: NODES }),
+  gapsMs: fc.array(gapMs, { minLength: NODES, maxLength: NODES }),
+  during: fc.array(anyTrouble, { minLength: 0, maxLength: 2 }),
+  after: fc.array(anyTrouble, { minLength: 1, maxLength: 3 }),
+  shrinkMs: fc.integer({ min: 0, max: SPELL_MS }),
+  cancelsMs: fc.array(fc.integer({ min: 0, max: SPELL_MS }), { minLength: 1, maxLength: 5 }),
+});
+
+/** The schedule that belongs to a seed. */
+export const upgradeScheduleOf = (seed: number): UpgradeSchedule => fc.sample(schedules, { seed, numRuns: 1 })[0]!;
+
+const READY_MS = 6000;
+const CALM_MS = 130_000;
+/** ms between two rounds of submissions. */
+const ROUND_MS = 7000;
+const RUNS_MS = [3000, 8000, 30_000];
+const PRESENT = { rps: 500, write_rps: 60, value_kb: 4, txn_ops: 12 };
+const NEXT = { write_rps: 40, value_kb: 2, txn_ops: 4 };
+
+class UpgradeScenario {
+  private readonly cluster: Cluster;
+  private readonly random: Random;
+  private readonly faults: FaultInjector;
+  private submitted = 0;
+
+  /** `before`: the version that is upgraded; none: the present one throughout. */
+  constructor(
+    private readonly schedule: UpgradeSchedule,
+    private readonly before: ProgramVersion | undefined,
+  ) {
+    this.cluster = new Cluster({
+      nodes: NODES,
+      teams: [
+        { name: 'red', cpus: 8, cpus_max: 24 },
+        { name: 'blue', cpus: 16 },
+      ],
+      cluster: { state: { ...PRESENT, next: NEXT } },
+      bootMs: 4000,
+      runMs: RUNS_MS[0]!,
+      ...(before === undefined ? {} : { version: before }),
+    });
+    this.random = new Random(schedule.seed);
+    this.faults = new FaultInjector(this.cluster, (count) => this.cancelSome(count));
+    this.cluster.store.limits = limitsOf(PRESENT);
+  }
+
+  /** Which rules were broken, if any. */
+  async play(): Promise<string[]> {
+    const { cluster, schedule } = this;
+    for (let n = 0; n < MACHINES; n++) {
+      const runMs = Math.round(this.random.jitter(RUNS_MS[this.random.below(RUNS_MS.length)]!));
+      cluster.addWorker({ host: `i-${String(n).padStart(6, '0')}`, site: SITES[n % 3]!, runMs });
+    }
+    await cluster.advance(READY_MS);
+    if (this.before !== undefined) await this.upgrade();
+    this.submitInRounds(() => this.submitPipelines());
+    cluster.clock.after(schedule.shrinkMs, () => {
+      cluster.store.limits = limitsOf(NEXT);
+    });
+    for (const ms of schedule.cancelsMs) cluster.clock.after(ms, () => this.cancelSome(1));
+    await this.bring(schedule.after);
+    cluster.checker.troublesOver(cluster.clock.now());
+    await cluster.advance(CALM_MS);
+    return this.verdict();
+  }
+
+  private verdict(): string[] {
+    const { cluster } = this;
+    const isShort = cluster.users.jobs.size === 0;
+    const { tooLarge } = cluster.store;
+    return [
+      ...cluster.verdict(),
+      ...(isShort ? ['no job was accepted'] : []),
+      ...(tooLarge > 0 ? [`${tooLarge} transactions were too large for the store`] : []),
+    ];
+  }
+
+  private async upgrade(): Promise<void> {
+    this.submitInRounds(() => this.submitJobs());
+    const isChanged = this.changeOver();
+    await this.bring(this.schedule.during);
+    // Time passes only while somebody lets it pass.
+    await this.cluster.during(isChanged, 0);
+  }
+
+  private async changeOver(): Promise<void> {
+    const { cluster, schedule } = this;
+    for (const [turn, node] of schedule.order.entries()) {
+      await cluster.clock.sleep(schedule.gapsMs[turn]!);
+      cluster.upgrade(node);
+      if (cluster.has(node)) cluster.crash(node);
+      await cluster.clock.sleep(this.random.jitter(1500));
+      if (!cluster.has(node)) cluster.start(node);
+    }
+  }
+
+  /** Brings troubles about, and waits until they are over. */
+  private async bring(troubles: readonly Trouble[]): Promise<void> {
+    const { cluster } = this;
+    let lastMs = SPELL_MS;
+    for (const trouble of troubles) {
+      lastMs = Math.max(lastMs, trouble.atMs + lastsMs(trouble));
+      cluster.clock.after(trouble.atMs, () => void this.faults.inject(trouble));
+    }
+    await cluster.advance(lastMs + 1);
+  }
+
+  private submitInRounds(submit: () => void): void {
+    for (let ms = 1; ms <= SPELL_MS; ms += ROUND_MS) this.cluster.clock.after(ms, submit);
+  }
+
+  /** Submits a job, and returns its name once that is decided. */
+  private async submit(fields: object): Promise<string> {
+    const Ref = `j-${String(this.submitted++).padStart(6, '0')}`;
+    const Owner = this.random.float() < 0.5 ? 'red' : 'blue';
+    await this.cluster.users.submit(jobOf({ Ref, Owner, ...fields }));
+    return Ref;
+  }
+
+  private submitJobs(): void {
+    void this.submit({ Shape: 'service', Rank: 'prod', GuessS: 0, Shards: 3, Spread: true, Owner: 'blue' });
+    void this.submit({ Shape: 'ensemble', Rank: 'high', Shards: 2, OneZone: true });
+    // Its record of places is larger than the store will take later.
+    void this.submit({ Shards: 64, Cpus: 0.1, MemGb: 0.1, Flavors: ['c8'], Bundle: 'i'.repeat(100) });
+    void this.submit({ Shards: 1 + this.random.below(4), Rank: 'low' });
+  }
+
+  private submitPipelines(): void {
+    this.submitJobs();
+    void this.submitPipeline();
+  }
+
+  /** Each job as soon as those that it needs are accepted. */
+  private async submitPipeline(): Promise<void> {
+    const first = await this.submit({ Shards: 2, Rank: 'low', GuessS: 4 });
+    const middle = await Promise.all([
+      this.submit({ Awaits: [first], Rank: 'low' }),
+      this.submit({ Awaits: [first], Shards: 3, Rank: 'normal' }),
+    ]);
+    const gang = await this.submit({ Awaits: middle, Shape: 'ensemble', Shards: 2, OneZone: true });
+    await this.submit({ Awaits: [gang, first], Rank: 'high', DueS: 60 });
+  }
+
+  /** Users cancel jobs that are not over, as far as they know. */
+  private cancelSome(count: number): void {
+    const open = [...this.cluster.users.jobs].filter(([, { phase }]) => phase === 'queued' || phase === 'running');
+    for (const [ref] of this.random.sample(open, count)) void this.cluster.users.withdraw(ref);
+  }
+}
+
+const BYTES_PER_KB = 1024;
+
+const limitsOf = ({ value_kb, txn_ops, write_rps }: typeof NEXT) => ({
+  valueBytes: value_kb * BYTES_PER_KB,
+  transactionWrites: txn_ops,
+  writesPerSecond: write_rps,
+});
+
+/** Plays a scenario and tells which rules were broken in it. */
+export const playUpgrade = (schedule: UpgradeSchedule, before?: ProgramVersion): Promise<string[]> =>
+  new UpgradeScenario(schedule, before).play();
