Exits far below a team's limit leave its record; gossip of thousands of machines in parts; tests of formats

Once all controllers are known to read the present form, an exit changes the team's record only near its limit. The record may then say too much, never too little: the next start sets it to what the ledger shows if the copy holds all that the record counts, and the leader settles quiet teams. A message with all machines of a large cluster would have been larger than a peer takes, which ends the link, again and again: what has no room is told in the next one. Bounds on remembered workers, returned machines and waiting changes stand above 4,000 machines.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -33,7 +33,10 @@
   // Scenarios are told one after the other, a file for each kind of fault.
   { files: ['test/**'], rules: { 'max-lines': ['error', 500] } },
   { files: ['*.js', 'build/*', 'test/**/*.mjs'], ...tseslint.configs.disableTypeChecked },
-  { files: ['test/**/*.mjs'], languageOptions: { globals: { process: 'readonly' } } },
+  {
+    files: ['build/*.js', 'test/**/*.mjs'],
+    languageOptions: { globals: { process: 'readonly', console: 'readonly' } },
+  },
   {
     files: ['build/*.cjs'],
     languageOptions: { sourceType: 'commonjs', globals: { require: 'readonly' } },
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -69,8 +69,12 @@
 /** ms for which one description of a node's own machines serves all peers: links tick at different moments. */
 export const GOSSIP_VIEW_MS = 900;
 
-/** Workers greeted at once after a takeover: hundreds of connections in one tick would keep reports waiting. */
+/**
+ * Workers greeted at once after a takeover, at least, and as a share of those in use: hundreds of connections in one tick would
+ * keep reports waiting, but all must have had their turn within a few seconds.
+ */
 export const MAX_GREETINGS = 24;
+export const GREETINGS_SHARE = 0.05;
 
 /** ms between two greetings of one worker: those who are not heard all get their turn. */
 export const GREET_AGAIN_MS = 5000;
@@ -78,9 +82,19 @@
 /** ms by which a peer's copy must be newer than ours to show that only we are cut off: more than two heartbeats. */
 export const PEER_LAG_MS = 2200;
 
-/** Bytes of one gossip message at most: some hundred bytes for each of a few hundred machines. */
+/** Bytes of one message between controllers at most: a longer one ends the link, also at peers of earlier versions. */
 export const MAX_GOSSIP_BYTES = 1_000_000;
 
+/**
+ * Bytes of machines told in full in one message, well below that, and bytes of each beside its texts. Thousands of machines
+ * are told of in several messages after a takeover; then only what changes is.
+ */
+export const MACHINES_IN_GOSSIP_BYTES = 500_000;
+export const MACHINE_NEWS_BYTES = 80;
+
+/** Machines of others by which the turn moves on from message to message, where they don't all have room: a prime. */
+export const MACHINES_A_TURN = 997;
+
 /** ms without a message after which a peer's connection is closed. */
 export const MESH_IDLE_MS = 5000;
 
@@ -166,8 +180,8 @@
 /** Final answers kept in memory; the rest is read from the store when asked for. */
 export const FINAL_CACHE = 5000;
 
-/** Intents waiting for the store in one node: bounds memory when the store is away. */
-export const MAX_INTENTS = 4000;
+/** Intents of one priority waiting for the store in one node: bounds memory when the store is away, above a task a machine. */
+export const MAX_INTENTS = 10_000;
 
 /** Urgent transactions of one priority on their way at once: one may hang without keeping the next waiting. */
 export const MAX_FLIGHTS = 2;
@@ -211,6 +225,15 @@
 /** Bytes of a job's record beside its submission and the names of its predecessors, a safe upper bound. */
 export const RECORD_ENVELOPE_BYTES = 200;
 
+/**
+ * Share of a team's limit up to which exits leave its record as it is: below, the record may count tasks that have ended for as
+ * long as nothing of the team starts, and a start still finds room.
+ */
+export const TEAM_DEFER_SHARE = 0.7;
+
+/** ms between two looks at records of teams that say more than their tasks use: a quiet team's is right a second or two later. */
+export const TEAM_SETTLE_MS = 1000;
+
 /** Shards a ledger chunk at most: larger chunks cost processor time at every change. */
 export const MAX_CHUNK_SHARDS = 64;
 
@@ -255,11 +278,11 @@
  */
 export const ROUND_TRIP_MS = 5400;
 
-/** Workers of other nodes whose last visit is kept, to tell late copies: more than there are machines. */
-export const STRANGERS_KEPT = 2000;
+/** Workers of other nodes whose last visit is kept, to tell late copies: more than the 4,000 machines of a large cluster. */
+export const STRANGERS_KEPT = 20_000;
 
-/** Names of returned machines kept, so that late news of them are not believed. */
-export const GONE_KEPT = 5000;
+/** Names of returned machines kept, so that late news of them are not believed: those of a large cluster several times over. */
+export const GONE_KEPT = 20_000;
 
 /** Share of a part's machines silent at once above which the node suspects itself, not the machines. */
 export const SELF_SUSPECT_SHARE = 0.4;
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -7,6 +7,7 @@
   SWEEP_MS,
   FORMAT_LOOK_MS,
   PIPELINE_SWEEP_MS,
+  TEAM_SETTLE_MS,
   FINISH_PERIOD_MS,
   WATCH_HEARD_PAUSE_MS,
   WATCH_PAUSE_MS,
@@ -14,12 +15,13 @@
 import { JobLookup } from '../api/job-lookup.js';
 import { Jobs, type Answer } from '../api/jobs.js';
 import { ApiServer } from '../api/server.js';
-import { CloudClient, decodeCatalog } from '../cloud/client.js';
+import { CloudClient } from '../cloud/client.js';
 import type { Settings, Tuning } from '../config/settings.js';
 import { lastingLimits } from '../config/state-limits.js';
 import { Book } from '../ledger/book.js';
 import { recordSizer } from '../ledger/record-sizes.js';
-import { LIVE, parseShard, shardName } from '../ledger/records.js';
+import { TeamAccounting } from '../ledger/team-accounting.js';
+import { LIVE } from '../ledger/records.js';
 import { Mesh, splitAddress } from '../mesh/mesh.js';
 import type { Gossip, Message, Relay } from '../mesh/messages.js';
 import { Coverage } from '../mesh/coverage.js';
@@ -33,11 +35,12 @@
 import { StateClient } from '../state/client.js';
 import { Committer, txnLimits } from '../state/committer.js';
 import { Replica } from '../state/replica.js';
-import type { Report } from '../workers/report.js';
+import { followCatalog } from './catalog-records.js';
 import { Claims } from './claims.js';
 import { Fleet } from './fleet.js';
 import { FormatUpgrade } from './format-upgrade.js';
 import { GossipExchange } from './gossip-exchange.js';
+import { HealthChecks } from './health-checks.js';
 import { JobCompletion } from './job-completion.js';
 import { JobReactions } from './job-reactions.js';
 import { Leader } from './leader.js';
@@ -51,11 +54,10 @@
 import { Rebalancer } from './rebalancer.js';
 import { RecordBroadcast } from './record-broadcast.js';
 import { ReportService } from './report-service.js';
+import { TeamSettlement } from './team-settlement.js';
 import { WithdrawalEnforcer } from './withdrawal-enforcer.js';
 import { WorkerGreeter } from './worker-greeter.js';
 
-const FLAVOR = `${LIVE}flavor/`;
-
 /** One controller: all parts of the service, joined. */
 export class Controller {
   readonly replica: Replica;
@@ -89,6 +91,7 @@
   private readonly pipelineProgress: PipelineProgress;
   private readonly jobReactions: JobReactions;
   private readonly formatUpgrade: FormatUpgrade;
+  private readonly teamSettlement: TeamSettlement;
 
   constructor(
     private readonly settings: Settings,
@@ -118,7 +121,7 @@
       claim: () => this.claimChanged(),
       corrupt: (key, error) => log.error({ key, error: String(error) }, 'record can not be read'),
     });
-    this.replica.onChange((key, now) => this.takeFlavor(key, now.value));
+    followCatalog(this.replica, () => this.fleet.catalog, log);
     this.committer = new Committer(
       this.client,
       this.replica,
@@ -158,12 +161,20 @@
     );
     this.relays = new Relays(settings.node, life, clock, (node, message) => this.send(node, message));
     this.happiness = new Happiness(tuning.window_s * 1000);
+    const health = new HealthChecks({ book: this.book, happiness: this.happiness, clock });
+    const accounting = new TeamAccounting({
+      teams: settings.cluster.teams,
+      placedUse: (team, upTo) => this.book.placedUse(team, upTo),
+      recordOf: (key) => this.replica.get(key),
+      mayDefer: () => this.formatUpgrade.isComplete,
+    });
     this.owner = new Owner({
       settings,
       claims: this.claims,
       replica: this.replica,
       book: this.book,
       committer: this.committer,
+      accounting,
       http,
       clock,
       events: {
@@ -171,12 +182,12 @@
         isLate: (report) => this.fleet.isLate(report),
         knownImages: (host) => this.fleet.known(host)?.images ?? [],
         cacheGb: (flavor) => this.fleet.catalog.get(flavor)?.localGb ?? Infinity,
-        checked: (report) => this.noteChecks(report),
+        checked: (report) => health.reported(report),
         completed: (place, ranS) => {
           const spec = this.book.jobs.get(place.ref)?.record.spec;
           if (spec !== undefined) this.planner.learn(spec, ranS);
         },
-        died: (place) => this.noteCheck(place.ref, place.shard, false),
+        died: (place) => health.died(place),
       },
       log,
     });
@@ -188,6 +199,7 @@
       this.book,
       this.fleet,
       this.committer,
+      accounting,
       clock,
       this.random,
       log,
@@ -200,6 +212,7 @@
       this.fleet,
       this.planner,
       this.committer,
+      accounting,
       cloud,
       this.peers,
       clock,
@@ -257,6 +270,13 @@
       pipelineProgress: this.pipelineProgress,
       reportPeriodMs: this.periodMs,
     });
+    this.teamSettlement = new TeamSettlement({
+      teams: settings.cluster.teams,
+      claims: this.claims,
+      replica: this.replica,
+      committer: this.committer,
+      accounting,
+    });
     this.formatUpgrade = new FormatUpgrade({
       node: settings.node,
       nodes: [settings.node, ...peerNodes],
@@ -353,10 +373,11 @@
       this.leader.run(signal),
       this.rescheduler.run(signal),
       every(FINISH_PERIOD_MS, periodic, () => this.cleanUp()),
-      every(SWEEP_MS, periodic, () => this.rebalance()),
+      every(SWEEP_MS, periodic, () => this.rebalancer.rebalance()),
       every(SWEEP_MS, periodic, () => this.withdrawalEnforcer.sweep()),
       every(GREET_PERIOD_MS, periodic, () => greeter.greet()),
       every(PIPELINE_SWEEP_MS, periodic, () => this.pipelineProgress.sweep()),
+      every(TEAM_SETTLE_MS, periodic, () => this.teamSettlement.look()),
       every(FORMAT_LOOK_MS, periodic, () => this.formatUpgrade.look()),
     ]);
   }
@@ -412,30 +433,11 @@
     if (relayAnswer !== undefined) this.send(relay.node, { relayAnswer });
   }
 
-  private takeFlavor(key: string, value: unknown): void {
-    if (!key.startsWith(FLAVOR) || value === undefined) return;
-    const catalog = decodeCatalog({ Flavors: [value] });
-    if (catalog === undefined) this.log.error({ key }, 'record can not be read');
-    for (const [sku, flavor] of catalog ?? []) this.fleet.catalog.set(sku, flavor);
-  }
-
   private claimChanged(): void {
     this.planner.poke();
     void this.claims.settle();
   }
 
-  private noteChecks(report: Report): void {
-    for (const [name, task] of report.tasks) {
-      const shard = parseShard(name);
-      if (shard !== undefined && task.phase === 'running') this.noteCheck(shard.ref, shard.shard, true);
-    }
-  }
-
-  private noteCheck(ref: string, shard: number, healthy: boolean): void {
-    if (this.book.jobs.get(ref)?.record.spec.Shape !== 'service') return;
-    this.happiness.note(shardName(ref, shard), healthy, this.clock.now());
-  }
-
   /** Ends jobs that are over, and forgets what nobody speaks of any more. */
   private cleanUp(): void {
     if (!this.claims.inTouch) return;
@@ -443,8 +445,4 @@
     this.happiness.prune(this.clock.now());
     this.fleet.prune();
   }
-
-  private rebalance(): void {
-    if (this.claims.inTouch) this.rebalancer.rebalance();
-  }
 }
--- a/src/controller/exit-recorder.ts
+++ b/src/controller/exit-recorder.ts
@@ -1,8 +1,9 @@
 /** Records in the ledger that places are free, and draws from each exit what it tells of its machine. */
-import type { Settings, Team } from '../config/settings.js';
+import type { Settings } from '../config/settings.js';
 import type { Book, Place } from '../ledger/book.js';
 import { freeShard } from '../ledger/edits.js';
 import type { Proof } from '../ledger/rules.js';
+import type { TeamAccounting } from '../ledger/team-accounting.js';
 import type { Clock } from '../net/clock.js';
 import { exitPriority } from '../placement/queue.js';
 import type { Committer } from '../state/committer.js';
@@ -26,6 +27,7 @@
   claims: Claims;
   book: Book;
   committer: Committer;
+  accounting: TeamAccounting;
   workers: WorkerRegistry;
   stragglers: Stragglers;
   events: ExitListener;
@@ -34,13 +36,10 @@
 }
 
 export class ExitRecorder {
-  private readonly teams: Map<string, Team>;
   /** Attempts whose end is handed to the ledger and not yet recorded, also on machines that this node has never heard. */
   private readonly recording = new Set<string>();
 
-  constructor(private readonly dependencies: ExitRecorderDependencies) {
-    this.teams = new Map(dependencies.settings.cluster.teams.map((team) => [team.name, team]));
-  }
+  constructor(private readonly dependencies: ExitRecorderDependencies) {}
 
   /** Frees a place; `proofNow` is asked again whenever the decision is tried, and gives the proof that it is taken on. */
   record(host: string, role: string, free: Free, proofNow: () => Proof | undefined): void {
@@ -55,7 +54,7 @@
   }
 
   private commit(host: string, role: string, { place, ending }: Free, proofNow: () => Proof | undefined) {
-    const { claims, book, committer } = this.dependencies;
+    const { claims, book, committer, accounting } = this.dependencies;
     const acquisition = claims.acquisition(role);
     const spec = book.jobs.get(place.ref)?.record.spec;
     return committer.commit(
@@ -67,10 +66,10 @@
         // Nor of a later stay on the same machine, after a change without an answer has freed the place already.
         const proof = proofNow();
         if (proof === undefined) return false;
-        return freeShard(draft, this.teams, place.ref, place.shard, host, proof, ending);
+        return freeShard(draft, accounting, place.ref, place.shard, host, proof, ending);
       },
       undefined,
-      book.companyOf(place.ref, place.shard, this.teams.get(spec?.Owner ?? '')),
+      book.companyOf(place.ref, place.shard, accounting.teamChangedByExit(spec)),
     );
   }
 
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -11,11 +11,12 @@
   ZONE_HEAL_MS,
   RENT_ROUNDS,
 } from '../constants.js';
-import type { Settings, Team } from '../config/settings.js';
+import type { Settings } from '../config/settings.js';
 import { decodeCatalog, type CloudClient, type ListedMachine } from '../cloud/client.js';
 import type { Book } from '../ledger/book.js';
 import { freeShard } from '../ledger/edits.js';
 import { flavorKey } from '../ledger/records.js';
+import type { TeamAccounting } from '../ledger/team-accounting.js';
 import type { Clock } from '../net/clock.js';
 import { Priority } from '../net/token-bucket.js';
 import { exitPriority } from '../placement/queue.js';
@@ -34,7 +35,6 @@
 
 /** What the leader does for the whole cluster: catalogue, renting and returning, drains, preemption. */
 export class Leader {
-  private readonly teams: Map<string, Team>;
   private listed = new Map<string, ListedMachine>();
   private readonly idleSince = new Map<string, number>();
   private readonly sickSince = new Map<string, number>();
@@ -56,12 +56,12 @@
     private readonly fleet: Fleet,
     private readonly planner: Planner,
     private readonly committer: Committer,
+    private readonly accounting: TeamAccounting,
     private readonly cloud: CloudClient,
     private readonly peers: Peers,
     private readonly clock: Clock,
     private readonly log: Log,
   ) {
-    this.teams = new Map(settings.cluster.teams.map((team) => [team.name, team]));
     this.stopper = new Stopper(claims, book, committer, clock, log);
     this.preempter = new Preempter(settings, book, fleet, planner, this.stopper, clock);
     this.renter = new Renter(settings, claims, book, fleet, planner, committer, cloud, clock, log, () => this.listed);
@@ -197,7 +197,7 @@
         priority,
         (draft) => {
           if (!this.claims.require(draft, LEADER)) return false;
-          return freeShard(draft, this.teams, place.ref, place.shard, host, { kind: 'gone' }, 'lost');
+          return freeShard(draft, this.accounting, place.ref, place.shard, host, { kind: 'gone' }, 'lost');
         },
         undefined,
         this.book.companyOf(place.ref, place.shard),
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -2,6 +2,7 @@
   FORGET_WORKER_LEASES,
   FRESH_MS,
   GREET_AGAIN_MS,
+  GREETINGS_SHARE,
   MAX_GREETINGS,
   MAX_ORDERS_BYTES,
   PUSH_GATHER_MS,
@@ -15,6 +16,7 @@
 import type { Proof } from '../ledger/rules.js';
 import type { Clock } from '../net/clock.js';
 import type { HttpClient } from '../net/http-client.js';
+import type { TeamAccounting } from '../ledger/team-accounting.js';
 import type { Committer } from '../state/committer.js';
 import type { Replica } from '../state/replica.js';
 import { sendCommands, type CommandResult } from '../workers/commands.js';
@@ -63,6 +65,7 @@
   replica: Replica;
   book: Book;
   committer: Committer;
+  accounting: TeamAccounting;
   http: HttpClient;
   clock: Clock;
   events: OwnerEvents;
@@ -372,7 +375,8 @@
     // The next look comes soon, and most workers report before their turn.
     // Those that don't answer must not keep the others from theirs.
     const now = this.clock.now();
-    if (this.greeting >= MAX_GREETINGS || now - (this.greetedAt.get(host) ?? -Infinity) < GREET_AGAIN_MS) return;
+    const most = Math.max(MAX_GREETINGS, this.book.hostsInUseCount * GREETINGS_SHARE);
+    if (this.greeting >= most || now - (this.greetedAt.get(host) ?? -Infinity) < GREET_AGAIN_MS) return;
     this.greetedAt.set(host, now);
     this.greeting++;
     const result = await sendCommands(this.http, endpoint, held.fence, tenure, []);
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -17,6 +17,7 @@
 import type { Book, JobView } from '../ledger/book.js';
 import { startShard } from '../ledger/edits.js';
 import { runnableSince, shardName, type JobSpec, type TeamRecord } from '../ledger/records.js';
+import type { TeamAccounting } from '../ledger/team-accounting.js';
 import { isWithin, quotaAllows, takeRoom, type Room } from '../ledger/rules.js';
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
@@ -68,6 +69,7 @@
     private readonly book: Book,
     private readonly fleet: Fleet,
     private readonly committer: Committer,
+    private readonly accounting: TeamAccounting,
     private readonly clock: Clock,
     random: Random,
     private readonly log: Log,
@@ -378,7 +380,7 @@
       const stale = this.fleet.tenureOf(machine.host) !== machine.tenure || !this.hasRoom(machine);
       const why = stale
         ? 'machine changed'
-        : startShard(draft, team, waiting.view.ref, waiting.shard, machine, attempt);
+        : startShard(draft, this.accounting, team, waiting.view.ref, waiting.shard, machine, attempt);
       if (why === undefined) started++;
       else if (whole) return false;
     }
--- a/src/controller/rebalancer.ts
+++ b/src/controller/rebalancer.ts
@@ -21,6 +21,7 @@
   /** One look at each partition that this node owns. */
   rebalance(): void {
     const { claims } = this.dependencies;
+    if (!claims.inTouch) return;
     for (const partition of claims.ownedPartitions()) {
       const role = partitionRole(partition);
       if (this.isWantedAtHome(partition)) void claims.cede(role, 'its own node is back', HOLD_TTL_MS);
--- a/src/ledger/book.ts
+++ b/src/ledger/book.ts
@@ -6,6 +6,7 @@
   chunkKey,
   chunkSize,
   decodeChunk,
+  isWithoutPlaces,
   decodeHire,
   decodeJob,
   JOB_PREFIX,
@@ -162,6 +163,22 @@
     return this.teams;
   }
 
+  /**
+   * What a team's places use, if the copy holds all that happened up to the revision and all of it can be read; it may count
+   * places that are free by now, and misses none.
+   */
+  placedUse(team: string, upTo: number): Readonly<TeamRecord> | undefined {
+    const isWhole = this.replica.epoch >= upTo && this.unreadable.size === 0 && !this.hasPlacesWithoutJob();
+    return isWhole ? (this.teams.get(team) ?? { cpus: 0, cards: 0 }) : undefined;
+  }
+
+  private hasPlacesWithoutJob(): boolean {
+    for (const chunks of this.orphans.values()) {
+      for (const chunk of chunks.values()) if (!isWithoutPlaces(chunk)) return true;
+    }
+    return false;
+  }
+
   /** The record that holds a shard's place, and that of its team, should its start or exit change one. */
   companyOf(ref: string, shard: number, team?: Team): Company | undefined {
     const view = this.jobs.get(ref);
@@ -174,6 +191,10 @@
     return this.hosts.get(host)?.size ?? 0;
   }
 
+  get hostsInUseCount(): number {
+    return this.hosts.size;
+  }
+
   *hostsInUse(): Iterable<string> {
     yield* this.hosts.keys();
   }
--- a/src/ledger/edits.ts
+++ b/src/ledger/edits.ts
@@ -6,16 +6,15 @@
   chunkSize,
   decodeChunk,
   decodeJob,
-  decodeTeam,
   endedKey,
   jobKey,
-  teamKey,
   withSlot,
   type EndedRecord,
   type JobRecord,
   type Slot,
 } from './records.js';
-import { isLimited, proves, round, whyNotStart, type Machine, type Proof } from './rules.js';
+import { proves, whyNotStart, type Machine, type Proof } from './rules.js';
+import type { TeamAccounting } from './team-accounting.js';
 
 /** Reads a job and makes it a condition. */
 export function readJob(draft: Draft, ref: string): JobRecord | undefined {
@@ -41,18 +40,10 @@
   return true;
 }
 
-function addUse(draft: Draft, team: Team, job: JobRecord, sign: 1 | -1): void {
-  if (!isLimited(team, job.spec)) return;
-  const use = decodeTeam(draft.get(teamKey(team.name)));
-  draft.set(teamKey(team.name), {
-    cpus: round(use.cpus + sign * job.spec.Cpus),
-    cards: round(use.cards + sign * job.spec.Cards),
-  });
-}
-
 /** Commits one shard to a machine, if the rules allow it on the records as they are. */
 export function startShard(
   draft: Draft,
+  accounting: TeamAccounting,
   team: Team,
   ref: string,
   shard: number,
@@ -68,7 +59,7 @@
     slot,
     others: job.spec.Spread || job.spec.OneZone ? readSlots(draft, job) : [],
     team,
-    use: isLimited(team, job.spec) ? decodeTeam(draft.get(teamKey(team.name))) : { cpus: 0, cards: 0 },
+    use: accounting.useOf(draft, team, job.spec),
     machine,
     attempt,
   });
@@ -82,7 +73,7 @@
     stop: null,
     site: machine.site,
   }));
-  addUse(draft, team, job, 1);
+  accounting.addStart(draft, team, job.spec);
   return undefined;
 }
 
@@ -91,7 +82,7 @@
 /** Frees a place on proof, and records how the task ended. */
 export function freeShard(
   draft: Draft,
-  teams: ReadonlyMap<string, Team>,
+  accounting: TeamAccounting,
   ref: string,
   shard: number,
   host: string,
@@ -109,8 +100,7 @@
     if (complete) return { kind: 'done' };
     return { kind: 'queued', attempt: slot.attempt, fails: ending === 'failed' ? slot.fails + 1 : slot.fails };
   });
-  const team = teams.get(job.spec.Owner);
-  if (freed && team !== undefined) addUse(draft, team, job, -1);
+  if (freed) accounting.addExit(draft, job.spec);
   return freed;
 }
 
--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -179,6 +179,13 @@
   return slots;
 }
 
+/** Does a chunk, of whatever job, hold no place? One that can't be read may hold any. */
+export function isWithoutPlaces(value: unknown): boolean {
+  const { s: raw } = (value ?? {}) as Partial<RawChunk>;
+  if (!Array.isArray(raw)) return false;
+  return raw.every((slot) => typeof slot === 'number' || (Array.isArray(slot) && slot.length === 2));
+}
+
 /** The record of a chunk with one slot changed: the others are neither decoded nor encoded nor measured again. */
 export function withSlot(value: unknown, size: number, at: number, slot: Slot): unknown {
   const slots = [...decodeChunk(value, size)];
--- /dev/null
+++ b/src/ledger/team-accounting.ts
@@ -0,0 +1,100 @@
+/**
+ * What each team uses, as its record in the store has it. The record is never less than what the team's tasks use: every start
+ * adds to it, under the condition that nobody else has changed it. Exits far below the team's limit leave it as it is, since
+ * a change of a record that all controllers write for every task of a team is what the store's rate of changes allows least;
+ * the next start sets it to what the ledger shows, if the copy is known to hold every start that the record counts.
+ */
+import { TEAM_DEFER_SHARE } from '../constants.js';
+import type { Team } from '../config/settings.js';
+import type { Draft } from '../state/committer.js';
+import type { Stored } from '../state/replica.js';
+import { decodeTeam, teamKey, type JobSpec, type TeamRecord } from './records.js';
+import { isLimited, round } from './rules.js';
+
+export interface TeamAccountingDependencies {
+  teams: readonly Team[];
+  /** What a team's places use by the ledger; undefined unless the copy holds all that happened up to the revision. */
+  placedUse: (team: string, upTo: number) => TeamRecord | undefined;
+  recordOf: (key: string) => Stored;
+  /** Do all controllers know that a record may be more than its team uses? */
+  mayDefer: () => boolean;
+}
+
+const withTask = (use: TeamRecord, spec: JobSpec, tasks: 1 | -1): TeamRecord => ({
+  cpus: round(use.cpus + tasks * spec.Cpus),
+  cards: round(use.cards + tasks * spec.Cards),
+});
+
+/** Is there so much room under the limit that the next start need not know of every exit? */
+const isFarBelow = (use: TeamRecord, team: Team): boolean =>
+  (team.cpus_max === 0 || use.cpus <= team.cpus_max * TEAM_DEFER_SHARE) &&
+  (team.gpus_max === 0 || use.cards <= team.gpus_max * TEAM_DEFER_SHARE);
+
+export class TeamAccounting {
+  private readonly teams: ReadonlyMap<string, Team>;
+
+  constructor(private readonly dependencies: TeamAccountingDependencies) {
+    this.teams = new Map(dependencies.teams.map((team) => [team.name, team]));
+  }
+
+  /** What the job's team uses at most; a condition of the draft from then on. */
+  useOf(draft: Draft, team: Team, spec: JobSpec): TeamRecord {
+    if (!isLimited(team, spec)) return { cpus: 0, cards: 0 };
+    const key = teamKey(team.name);
+    const isCounted = draft.hasWritten(key);
+    const recorded = decodeTeam(draft.get(key));
+    if (isCounted) return recorded;
+    // Every start changes the record, so its Stamp is that of the last one. Exits that the copy has not seen count as use.
+    const placed = this.dependencies.placedUse(team.name, draft.conditions.get(key) ?? Infinity);
+    if (placed === undefined) return recorded;
+    return { cpus: Math.min(recorded.cpus, placed.cpus), cards: Math.min(recorded.cards, placed.cards) };
+  }
+
+  addStart(draft: Draft, team: Team, spec: JobSpec): void {
+    if (!isLimited(team, spec)) return;
+    draft.set(teamKey(team.name), withTask(this.useOf(draft, team, spec), spec, 1));
+  }
+
+  /** Takes a task off its team's record, unless that can be left to the team's next start. */
+  addExit(draft: Draft, spec: JobSpec): void {
+    const team = this.teams.get(spec.Owner);
+    if (team === undefined || !isLimited(team, spec) || this.isDeferred(draft, team)) return;
+    draft.set(teamKey(team.name), withTask(this.useOf(draft, team, spec), spec, -1));
+  }
+
+  private isDeferred(draft: Draft, team: Team): boolean {
+    const key = teamKey(team.name);
+    return this.dependencies.mayDefer() && !draft.hasWritten(key) && isFarBelow(decodeTeam(draft.peek(key)), team);
+  }
+
+  /** Does a team's record say more than the ledger shows? */
+  isOverstated(team: string): boolean {
+    return this.settledUse(team, this.dependencies.recordOf(teamKey(team))) !== undefined;
+  }
+
+  /** Sets a team's record to what the ledger shows, if that is less. */
+  settle(draft: Draft, team: string): boolean {
+    const key = teamKey(team);
+    if (draft.hasWritten(key)) return false;
+    const value = draft.get(key);
+    const use = this.settledUse(team, { value, stamp: draft.conditions.get(key) ?? Infinity });
+    if (use === undefined) return false;
+    draft.set(key, use);
+    return true;
+  }
+
+  /** What a team's record should say, where that is less than what it says. */
+  private settledUse(team: string, { value, stamp }: Stored): TeamRecord | undefined {
+    if (value === undefined) return undefined;
+    const recorded = decodeTeam(value);
+    const placed = this.dependencies.placedUse(team, stamp);
+    const isLess = placed !== undefined && (placed.cpus < recorded.cpus || placed.cards < recorded.cards);
+    if (!isLess) return undefined;
+    return { cpus: Math.min(recorded.cpus, placed.cpus), cards: Math.min(recorded.cards, placed.cards) };
+  }
+
+  /** The team whose record an exit may change. */
+  teamChangedByExit(spec: JobSpec | undefined): Team | undefined {
+    return spec === undefined || this.dependencies.mayDefer() ? undefined : this.teams.get(spec.Owner);
+  }
+}
--- a/src/mesh/machine-updates.ts
+++ b/src/mesh/machine-updates.ts
@@ -1,3 +1,4 @@
+import { MACHINE_NEWS_BYTES, MACHINES_A_TURN, MACHINES_IN_GOSSIP_BYTES } from '../constants.js';
 import type { Gossip, MachineNews } from './messages.js';
 
 type Told = Pick<Gossip, 'life' | 'seq' | 'whole' | 'machines' | 'same'>;
@@ -9,6 +10,10 @@
   return [endpoint, flavor, site, tenure, flags, owner, ...machine.images, '', ...machine.failedJobs].join(' ');
 };
 
+/** Bytes that a machine takes in a message, a safe upper bound. */
+const bytesOf = (news: MachineNews, text: string): number =>
+  MACHINE_NEWS_BYTES + Buffer.byteLength(text) + news.host.length + news.images.length + news.failedJobs.length;
+
 /** The sender's own machines as they were at one moment, for all peers that are told within the next. */
 export interface OwnMachines {
   /** Steady ms. */
@@ -49,8 +54,9 @@
     let known = this.peers.get(peer);
     if (known === undefined) this.peers.set(peer, (known = { seq: 0, told: new Map() }));
     const whole = known.told.size === 0;
-    // What is passed on from others comes and goes: it has no numbers.
-    const changed = [...passedOn];
+    const changed: MachineNews[] = [];
+    // What finds no room is told next time: a peer closes the link on a message that is larger than it takes.
+    let room = MACHINES_IN_GOSSIP_BYTES;
     const same: Told['same'] = { numbers: [], heardAgesMs: [], ticks: [] };
     for (const { news, lasting } of machines) {
       const { host } = news;
@@ -63,12 +69,32 @@
         same.ticks.push(news.tick);
         continue;
       }
+      room -= bytesOf(news, lasting);
+      if (room < 0) continue;
       known.told.set(host, lasting);
       const warnedMs = news.warnedMs === null ? null : news.warnedMs - age;
       changed.push({ ...news, number, heardAgeMs: news.heardAgeMs + age, knownAgeMs: age, warnedMs });
     }
-    return { life: this.life, seq: ++known.seq, whole, machines: changed, same };
+    known.seq++;
+    changed.push(...somePassedOn(passedOn, room, known.seq));
+    return { life: this.life, seq: known.seq, whole, machines: changed, same };
+  }
+}
+
+/**
+ * As many machines of others as there is room for. What is passed on comes and goes, and has no numbers: it is told anew each
+ * time, and the turn begins at another machine.
+ */
+function somePassedOn(passedOn: readonly MachineNews[], room: number, turn: number): MachineNews[] {
+  const chosen: MachineNews[] = [];
+  const begin = passedOn.length === 0 ? 0 : (turn * MACHINES_A_TURN) % passedOn.length;
+  let left = room;
+  for (const news of [...passedOn.slice(begin), ...passedOn.slice(0, begin)]) {
+    left -= bytesOf(news, lasting(news));
+    if (left < 0) break;
+    chosen.push(news);
   }
+  return chosen;
 }
 
 /** A machine of which nothing is new but these. */
--- a/src/state/committer.ts
+++ b/src/state/committer.ts
@@ -76,6 +76,11 @@
     return this.writes.has(key) ? this : this.below?.writer(key);
   }
 
+  /** Does this draft, or one below it, change the key? */
+  hasWritten(key: string): boolean {
+    return this.writer(key) !== undefined;
+  }
+
   get(key: string): unknown {
     const writer = this.writer(key);
     if (writer !== undefined) return writer.writes.get(key);
--- a/test/client.test.ts
+++ b/test/client.test.ts
@@ -106,6 +106,15 @@
         (error) => error instanceof SettingsError && error.message.includes(`cluster.${group}.${field}: must be`),
       );
     }
+    for (const [group, field, value] of tooSmall.filter(([each]) => each === 'state')) {
+      const cluster = { ...good.cluster, state: { ...good.cluster.state, next: { [field]: value } } };
+      assert.throws(
+        () => parse(cluster),
+        (error) => error instanceof SettingsError && error.message.includes(`cluster.${group}.next.${field}: must be`),
+      );
+    }
+    assert.throws(() => parse({ ...good.cluster, state: { ...good.cluster.state, next: { txn_ops: 'few' } } }), /next/);
+    assert.equal(parse({ ...good.cluster, state: { ...good.cluster.state, next: null } }).cluster.size, 3);
     assert.equal(parse({ ...good.cluster, limits: { cpu: 0.051, ram_mb: 108, sockets: 700 } }).cluster.size, 3);
   });
 });
--- a/test/committer.test.ts
+++ b/test/committer.test.ts
@@ -43,4 +43,43 @@
     assert.ok(asked.includes('live/job'));
     assert.equal((await outcome).kind, 'done');
   });
+
+  it('makes decisions again by themselves that the store has rejected together, and tells of one that it rejects alone', async () => {
+    const clock = new FakeClock();
+    const sent: string[][] = [];
+    const txn = (_: unknown, writes: { key: string }[]): Promise<TxnResult> => {
+      const keys = writes.map(({ key }) => key);
+      sent.push(keys);
+      const isRejected = keys.includes('live/large');
+      return Promise.resolve(isRejected ? { kind: 'malformed', why: 'too large' } : { kind: 'done', epoch: 1 });
+    };
+    const client = { txn } as unknown as StateClient;
+    const limits = {
+      ops: 12,
+      batchOps: 12,
+      conditions: 48,
+      bytes: 60_000,
+      valueBytes: 4096,
+      lastingValueBytes: 2048,
+    };
+    const committer = new Committer(client, new Replica(client, 'live/', clock), limits, 'live/', clock, new Random(1));
+    const rejected: string[] = [];
+    committer.onRejected = (name) => rejected.push(name);
+    const put = (key: string, value: unknown) =>
+      committer.commit(key, Priority.start, (draft) => {
+        draft.set(key, value);
+        return true;
+      });
+    const outcomes = Promise.all([put('live/a', {}), put('live/large', { text: 'x'.repeat(1000) }), put('live/b', {})]);
+    await clock.advance(50);
+    assert.deepEqual(
+      (await outcomes).map(({ kind }) => kind),
+      ['done', 'rejected', 'done'],
+    );
+    assert.deepEqual(rejected, ['live/large']);
+    assert.deepEqual(sent, [['live/a', 'live/large', 'live/b'], ['live/a'], ['live/large'], ['live/b']]);
+    // From then on nothing is sent that would be too large for the limits to come.
+    assert.equal((await put('live/c', { text: 'x'.repeat(3000) })).kind, 'void');
+    assert.equal(sent.length, 4);
+  });
 });
--- a/test/exit-recorder.test.ts
+++ b/test/exit-recorder.test.ts
@@ -62,6 +62,7 @@
         return new Promise(() => undefined);
       },
     },
+    accounting: { addExit: () => undefined, teamChangedByExit: () => undefined },
     workers: { get: () => worker },
     events: { died: () => undefined, completed: () => undefined },
     clock: new FakeClock(),
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
+import { MAX_GOSSIP_BYTES } from '../src/constants.js';
 import { decodeChunk, withSlot, type Slot } from '../src/ledger/records.js';
-import type { Gossip, MachineNews } from '../src/mesh/messages.js';
+import { encodeMessage, type Gossip, type MachineNews } from '../src/mesh/messages.js';
 import { ReceivedMachineUpdates, describeOwnMachines, SentMachineUpdates } from '../src/mesh/machine-updates.js';
 import { Priority } from '../src/net/token-bucket.js';
 import { Random } from '../src/net/random.js';
@@ -95,6 +96,26 @@
     assert.equal(whole.machines.find(({ host }) => host === 'i-3')!.tenure, 2);
   });
 
+  it('of thousands of machines goes in messages that a peer takes, until it knows them all', () => {
+    const images = Array.from({ length: 12 }, (_, n) => `registry.example/team/image-${n}`);
+    const all = Array.from({ length: 6000 }, (_, n) => machine(`i-${n}`, { images }));
+    const others = Array.from({ length: 6000 }, (_, n) => machine(`i-other-${n}`, { images, number: -1 }));
+    const sentUpdates = new SentMachineUpdates(1);
+    const heard = new ReceivedMachineUpdates();
+    const known = new Set<string>();
+    const passedOn = new Set<string>();
+    for (let turn = 0; turn < 40; turn++) {
+      const own = describeOwnMachines(turn * 1000, all);
+      const gossip = asGossip(sentUpdates.compose('n1', own, others, turn * 1000));
+      assert.ok(encodeMessage({ gossip }).length < MAX_GOSSIP_BYTES);
+      const { machines, gap } = heard.take(gossip);
+      assert.equal(gap, false);
+      for (const { host } of machines) (host.startsWith('i-other') ? passedOn : known).add(host);
+    }
+    assert.equal(known.size, 6000);
+    assert.equal(passedOn.size, 6000);
+  });
+
   it('of a former life, or held back by a cut, changes nothing', () => {
     const sentUpdates = new SentMachineUpdates(1);
     const heard = new ReceivedMachineUpdates();
--- /dev/null
+++ b/test/record-formats.test.ts
@@ -0,0 +1,153 @@
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { describe, it } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { decodeCatalog } from '../src/cloud/client.js';
+import { recordSizer } from '../src/ledger/record-sizes.js';
+import {
+  chunkKey,
+  compactChunk,
+  CorruptRecord,
+  decodeChunk,
+  decodeEnded,
+  decodeHire,
+  decodeJob,
+  decodeTeam,
+  ENDED_PREFIX,
+  FORMAT_COMPLETE_KEY,
+  jobKey,
+  JOB_PREFIX,
+  LEDGER_PREFIX,
+  withSlot,
+  type JobRecord,
+  type Slot,
+} from '../src/ledger/records.js';
+import { decodeMessage, encodeMessage } from '../src/mesh/messages.js';
+import { jsonLength } from '../src/state/sizes.js';
+import { Cluster } from '../src/testing/cluster.js';
+import { jobOf } from '../src/testing/fixtures.js';
+
+interface Samples {
+  records: Record<string, { key: string; value: unknown }[]>;
+  messages: Record<string, string[]>;
+}
+
+/** What the version in production writes; `record.mjs` beside the file has recorded it. */
+const FILE = fileURLToPath(new URL('../../../test/fixtures/production/samples.json', import.meta.url));
+const samples = JSON.parse(readFileSync(FILE, 'utf8')) as Samples;
+
+/** Throws where a record can't be read. */
+function read(key: string, value: unknown): unknown {
+  const kind = key.split('/')[1]!;
+  if (key.startsWith(JOB_PREFIX)) return decodeJob(value);
+  if (key.startsWith(ENDED_PREFIX)) return decodeEnded(value);
+  if (key.startsWith(LEDGER_PREFIX)) return decodeChunk(value, (value as { s: unknown[] }).s.length);
+  if (kind === 'team') return decodeTeam(value);
+  if (kind === 'hire') return decodeHire(value);
+  if (kind === 'flavor') return assert.ok(decodeCatalog({ Flavors: [value] })?.size === 1);
+  return assert.equal(kind, 'claim');
+}
+
+describe('what the version in production writes', () => {
+  it('is read by this one, every kind of record', () => {
+    const kinds = Object.keys(samples.records);
+    for (const kind of ['job active', 'job withdrawn', 'ledger', 'large ledger', 'team', 'hire', 'claim', 'flavor']) {
+      assert.ok(kinds.includes(kind), kind);
+    }
+    for (const list of Object.values(samples.records)) for (const { key, value } of list) read(key, value);
+  });
+
+  it('goes over the mesh byte for byte as this one sends it', () => {
+    const kinds = Object.keys(samples.messages).sort();
+    assert.deepEqual(kinds, ['ask', 'delta', 'gossip', 'news', 'relay', 'relayAnswer']);
+    for (const hex of Object.values(samples.messages).flat()) {
+      assert.equal(encodeMessage(decodeMessage(Buffer.from(hex, 'hex'))).toString('hex'), hex);
+    }
+  });
+});
+
+describe('a ledger chunk', () => {
+  const zones = ['bucuresti-nord', 'cluj-vest', 'iasi-est'];
+  const placed = (n: number): Slot => ({
+    kind: 'placed',
+    attempt: 12,
+    fails: 3,
+    host: `i-${String(n).padStart(6, '0')}`,
+    tenure: 10,
+    stop: n % 2 === 0 ? null : 4.5,
+    site: zones[n % 3]!,
+  });
+  const whole = (size: number) => {
+    let value: unknown;
+    for (let n = 0; n < size; n++) value = withSlot(value, size, n, placed(n));
+    return value;
+  };
+
+  it('means the same in its compact form, also where slots of it change', () => {
+    const size = 64;
+    const value = whole(size);
+    const compact = compactChunk(value);
+    const copy = JSON.parse(JSON.stringify(compact)) as unknown;
+    assert.deepEqual(decodeChunk(copy, size), decodeChunk(value, size));
+    assert.ok(jsonLength(value) > 2048 && jsonLength(compact) <= 2048, `${jsonLength(value)}, ${jsonLength(compact)}`);
+    const elsewhere: Slot = { ...(placed(5) as object), site: 'elsewhere' } as Slot;
+    const changed = withSlot(withSlot(copy, size, 5, elsewhere), size, 6, { kind: 'done' });
+    assert.equal(jsonLength(changed), JSON.stringify(changed).length);
+    assert.deepEqual(decodeChunk(JSON.parse(JSON.stringify(changed)), size)[5], elsewhere);
+    assert.deepEqual(decodeChunk(JSON.parse(JSON.stringify(changed)), size)[7], placed(7));
+  });
+
+  it('with a zone that it does not name can not be read', () => {
+    assert.throws(() => decodeChunk({ z: ['a'], s: [[1, 0, 'i-1', 1, -1, 3]] }, 1), CorruptRecord);
+    assert.throws(() => decodeChunk({ z: 'a', s: [0] }, 1), CorruptRecord);
+  });
+
+  it('is written in its compact form where it is too large, once all controllers read that', () => {
+    const value = whole(64);
+    const key = chunkKey('j-000001', 0);
+    let isComplete = false;
+    const resize = recordSizer(2048, (each) => (each === FORMAT_COMPLETE_KEY && isComplete ? {} : undefined));
+    assert.equal(resize(key, value), value);
+    isComplete = true;
+    assert.ok(jsonLength(resize(key, value)) <= 2048);
+    const small = whole(8);
+    assert.equal(resize(key, small), small);
+  });
+});
+
+describe('a job record that is larger than the store will take', () => {
+  it('loses its machine types when the job is called off, and only then', () => {
+    const spec = jobOf({ Flavors: Array.from({ length: 60 }, (_, n) => `type-${n}-${'x'.repeat(40)}`) });
+    const job = { spec, phase: 'active', at: 0, chunk: 64 } as unknown as JobRecord;
+    const resize = recordSizer(2048, () => undefined);
+    const key = jobKey('j-000001');
+    assert.equal(resize(key, job), job);
+    const withdrawn = resize(key, { ...job, phase: 'withdrawn' }) as JobRecord;
+    assert.ok(jsonLength(withdrawn) <= 2048);
+    assert.equal(decodeJob(withdrawn).spec.Shards, 1);
+  });
+});
+
+describe('the record that all controllers read the present form', () => {
+  const format = (cluster: Cluster) => [...cluster.store.rows.keys()].filter((key) => key.startsWith('live/format/'));
+
+  it('comes once all have said so, and stays', async () => {
+    const cluster = new Cluster({ nodes: 3 });
+    cluster.crash(2);
+    await cluster.advance(20_000);
+    assert.deepEqual(format(cluster), ['live/format/node/n0', 'live/format/node/n1']);
+    cluster.crash(1);
+    await cluster.advance(8000);
+    cluster.start(2);
+    await cluster.advance(12_000);
+    // Each has said so, but not at one time: the one that is away may come back as another version.
+    assert.deepEqual(format(cluster).sort(), ['live/format/node/n0', 'live/format/node/n2']);
+    cluster.start(1);
+    await cluster.advance(12_000);
+    assert.ok(format(cluster).includes(FORMAT_COMPLETE_KEY));
+    for (const node of [0, 1, 2]) cluster.crash(node);
+    await cluster.advance(12_000);
+    assert.ok(format(cluster).includes(FORMAT_COMPLETE_KEY));
+    assert.deepEqual(cluster.verdict(), []);
+  });
+});
--- /dev/null
+++ b/test/team-accounting.test.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { Team } from '../src/config/settings.js';
+import { teamKey, type JobSpec, type TeamRecord } from '../src/ledger/records.js';
+import { TeamAccounting } from '../src/ledger/team-accounting.js';
+import { Draft } from '../src/state/committer.js';
+import { jobOf } from '../src/testing/fixtures.js';
+
+const team: Team = { name: 'red', cpus: 0, cpus_max: 20, gpus: 0, gpus_max: 0 };
+const spec = jobOf({ Cpus: 2 }) as JobSpec;
+const KEY = teamKey('red');
+/** The revision of the team's last change, and the one up to which the copy is complete. */
+const STAMP = 7;
+
+function prepare({ recorded = 10, placed = 4, completeTo = STAMP, mayDefer = true } = {}) {
+  const record: TeamRecord = { cpus: recorded, cards: 0 };
+  const read = () => ({ value: record, stamp: STAMP });
+  const accounting = new TeamAccounting({
+    teams: [team],
+    placedUse: (_, upTo) => (completeTo >= upTo ? { cpus: placed, cards: 0 } : undefined),
+    recordOf: read,
+    mayDefer: () => mayDefer,
+  });
+  const draft = new Draft(read);
+  return { accounting, draft, written: () => (draft.writes.get(KEY) as TeamRecord | undefined)?.cpus };
+}
+
+describe("a team's record", () => {
+  it('counts what the ledger shows and the new task, under the condition that nobody has started another', () => {
+    const { accounting, draft, written } = prepare();
+    accounting.addStart(draft, team, spec);
+    accounting.addStart(draft, team, spec);
+    assert.equal(written(), 8);
+    assert.equal(draft.conditions.get(KEY), STAMP);
+  });
+
+  it('is believed where the copy may lack a start that it counts', () => {
+    const { accounting, draft, written } = prepare({ completeTo: STAMP - 1 });
+    accounting.addStart(draft, team, spec);
+    assert.equal(written(), 12);
+  });
+
+  it('is never raised by what the ledger shows', () => {
+    const { accounting, draft } = prepare({ placed: 16 });
+    assert.equal(accounting.useOf(draft, team, spec).cpus, 10);
+  });
+
+  it('is left as it is by exits far below the limit, once all controllers know of that', () => {
+    const far = prepare();
+    far.accounting.addExit(far.draft, spec);
+    assert.equal(far.written(), undefined);
+    assert.equal(far.draft.conditions.has(KEY), false);
+    const near = prepare({ recorded: 18, placed: 18 });
+    near.accounting.addExit(near.draft, spec);
+    assert.equal(near.written(), 16);
+    const early = prepare({ mayDefer: false, placed: 10 });
+    early.accounting.addExit(early.draft, spec);
+    assert.equal(early.written(), 8);
+  });
+
+  it('is settled where it says too much', () => {
+    const { accounting, draft, written } = prepare();
+    assert.ok(accounting.isOverstated('red'));
+    assert.ok(accounting.settle(draft, 'red'));
+    assert.equal(written(), 4);
+    assert.equal(prepare({ placed: 10 }).accounting.isOverstated('red'), false);
+    assert.equal(prepare({ completeTo: STAMP - 1 }).accounting.isOverstated('red'), false);
+  });
+});
