--- a/test/invariant-checker.test.ts
+++ b/test/invariant-checker.test.ts
@@ -86,6 +86,75 @@
   });
 });
 
+describe('the checker of pipelines', () => {
+  const AFTER = 'j-000002';
+  const LAST = 'j-000003';
+  const tell = (job: string, phase: string, kind: UserAnswer['kind'] = 'poll') =>
+    checker.answered({ kind, ref: job, askedAt: now - 1, at: now, status: 200, body: { Ref: job, Phase: phase } });
+  /** A chain of three jobs, all accepted. */
+  const acceptChain = () => {
+    accept({ Shards: 2 });
+    for (const [job, before] of [
+      [AFTER, ref],
+      [LAST, AFTER],
+    ] as const) {
+      checker.submitted(jobOf({ Ref: job, Awaits: [before] }));
+      tell(job, 'queued', 'submit');
+    }
+  };
+
+  it('catches a task that starts before all tasks of a job before it are done', () => {
+    acceptChain();
+    start('i-1');
+    start('i-2', 1);
+    end('i-1');
+    start('i-1', 0, now, AFTER);
+    assert.deepEqual(rules(), ['too_early']);
+  });
+
+  it('finds nothing wrong with one that starts after, and counts no job that waits as left waiting', () => {
+    acceptChain();
+    checker.troublesOver(now);
+    start('i-1');
+    start('i-2', 1);
+    pass(100);
+    end('i-1');
+    end('i-2', 1);
+    start('i-1', 0, now, AFTER);
+    assert.deepEqual(rules(), []);
+  });
+
+  it('catches a job that is called queued for too long after one before it is cancelled, over two levels', () => {
+    acceptChain();
+    cancel();
+    now += 35_000;
+    tell(LAST, 'queued');
+    assert.deepEqual(rules(), []);
+    now += 1000;
+    tell(LAST, 'queued');
+    assert.deepEqual(rules(), ['orphaned']);
+  });
+
+  it('takes a job for cancelled with one before it, and only then', () => {
+    acceptChain();
+    tell(LAST, 'withdrawn');
+    assert.deepEqual(rules(), ['went_back']);
+    checker.broken.length = 0;
+    cancel();
+    tell(AFTER, 'withdrawn');
+    assert.deepEqual(rules(), []);
+    now += 100;
+    tell(AFTER, 'queued');
+    assert.deepEqual(rules(), ['went_back']);
+  });
+
+  it('catches a job that is accepted though it needs one that nobody has submitted', () => {
+    checker.submitted(jobOf({ Ref: AFTER, Awaits: ['j-nobody'] }));
+    tell(AFTER, 'queued', 'submit');
+    assert.deepEqual(rules(), ['wrongly_accepted']);
+  });
+});
+
 describe('the checker catches', () => {
   it('ran_twice: a task starts while it is on another machine, or still on the same', () => {
     accept();
