--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -118,6 +118,7 @@
     this.replica = new Replica(this.client, LIVE, clock, () => this.watchPauseMs());
     this.book = new Book(this.replica, {
       job: (ref, shards) => this.jobReactions.jobChanged(ref, shards),
+      urgency: (ref) => this.planner.urgencyChanged(ref),
       claim: () => this.claimChanged(),
       corrupt: (key, error) => log.error({ key, error: String(error) }, 'record can not be read'),
     });
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -16,11 +16,12 @@
 import type { Settings, Team, Tuning } from '../config/settings.js';
 import type { Book, JobView } from '../ledger/book.js';
 import { startShard } from '../ledger/edits.js';
-import { runnableSince, shardName, type JobSpec, type TeamRecord } from '../ledger/records.js';
+import { chunkPrefix, runnableSince, shardName, type JobSpec, type TeamRecord } from '../ledger/records.js';
 import type { TeamAccounting } from '../ledger/team-accounting.js';
 import { isWithin, quotaAllows, takeRoom, type Room } from '../ledger/rules.js';
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
+import { Priority } from '../net/token-bucket.js';
 import { before, isFeasible, startPriority, targetsOf, withinGuarantee, type Candidate } from '../placement/queue.js';
 import { roomOfFlavor } from '../placement/renting.js';
 import type { Committer, Draft } from '../state/committer.js';
@@ -90,6 +91,13 @@
     this.ratios.set(spec.Jobclass, old + RATIO_WEIGHT * (Math.min(ranS / spec.GuessS, 4) - old));
   }
 
+  /** A job has another rank: its starts that wait for their turn follow. */
+  urgencyChanged(ref: string): void {
+    const spec = this.book.jobs.get(ref)?.record.spec;
+    if (spec === undefined || startPriority(spec) !== Priority.start || !this.flying.has(ref)) return;
+    this.committer.promote((key) => key.startsWith(chunkPrefix(ref)), Priority.background, Priority.start);
+  }
+
   /** Something has changed: plan soon. */
   poke(urgent = false): void {
     if (this.signal === undefined || this.signal.aborted) return;
--- a/src/ledger/book.ts
+++ b/src/ledger/book.ts
@@ -119,6 +119,8 @@
 export interface BookListener {
   /** Something about a job has changed, or of its ledger these shards. */
   job?(ref: string, shards?: readonly number[]): void;
+  /** A job has another rank or deadline for the sake of those that need it. */
+  urgency?(ref: string): void;
   claim?(role: string): void;
   corrupt?(key: string, error: unknown): void;
 }
@@ -130,7 +132,7 @@
 export class Book {
   readonly jobs = new Map<string, JobView>();
   /** Which jobs wait for which others. */
-  readonly pipelines = new Pipelines((ref, urgency) => this.jobs.get(ref)?.inherit(urgency));
+  readonly pipelines = new Pipelines((ref, urgency) => this.inherit(ref, urgency));
   readonly claims = new Map<string, { record: ClaimRecord; stamp: number }>();
   /** Rentals that are not over. */
   readonly hires = new Map<string, HireRecord>();
@@ -148,6 +150,13 @@
     replica.onChange((key, now) => this.take(key, now));
   }
 
+  private inherit(ref: string, urgency: Urgency): void {
+    const view = this.jobs.get(ref);
+    if (view === undefined) return;
+    view.inherit(urgency);
+    this.listener.urgency?.(ref);
+  }
+
   /** Places that the ledger gives to a machine, whatever its session. */
   placesOn(host: string): Iterable<Place> {
     return this.hosts.get(host)?.values() ?? [];
--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -10,8 +10,8 @@
 export const JOB_PREFIX = `${LIVE}job/`;
 export const jobKey = (ref: string): string => `${JOB_PREFIX}${ref}`;
 export const LEDGER_PREFIX = `${LIVE}ledger/`;
-export const chunkKey = (ref: string, chunk: number): string =>
-  `${LEDGER_PREFIX}${ref}/${String(chunk).padStart(4, '0')}`;
+export const chunkPrefix = (ref: string): string => `${LEDGER_PREFIX}${ref}/`;
+export const chunkKey = (ref: string, chunk: number): string => `${chunkPrefix(ref)}${String(chunk).padStart(4, '0')}`;
 export const teamKey = (team: string): string => `${LIVE}team/${team}`;
 export const flavorKey = (sku: string): string => `${LIVE}flavor/${encodeURIComponent(sku)}`;
 export const hireKey = (name: string): string => `${LIVE}hire/${name}`;
--- a/src/net/token-bucket.ts
+++ b/src/net/token-bucket.ts
@@ -15,6 +15,12 @@
 export const Priority = { hold: 0, withdraw: 1, accept: 2, start: 3, record: 4, background: 5 } as const;
 export type Priority = (typeof Priority)[keyof typeof Priority];
 
+/**
+ * The turn of a waiter. Exits and starts of batch work take turns as they come: while exits went first, a wave of them kept all
+ * starts waiting for tens of seconds in a cluster with room.
+ */
+const turnOf = (priority: Priority): number => Math.min(priority, Priority.record);
+
 /** Work that may wait: exits and starts of batch tasks, and reads. */
 export const isBatch = (priority: Priority): boolean => priority >= Priority.record;
 
@@ -67,14 +73,14 @@
   take(cost: number, priority: Priority): Promise<void> {
     this.refill();
     // What is urgent does not stand behind batch work that the bucket has too little for.
-    const first = this.waiters.length === 0 || this.waiters[0]!.priority > priority;
+    const first = this.waiters.length === 0 || turnOf(this.waiters[0]!.priority) > turnOf(priority);
     if (first && this.missing(cost, priority, this.last) <= 0 && this.blockedFor(priority) <= 0) {
       this.tokens -= cost;
       return Promise.resolve();
     }
     return new Promise((go) => {
       let at = this.waiters.length;
-      while (at > 0 && this.waiters[at - 1]!.priority > priority) at--;
+      while (at > 0 && turnOf(this.waiters[at - 1]!.priority) > turnOf(priority)) at--;
       this.waiters.splice(at, 0, { priority, cost, since: this.last, go });
       void this.pump();
     });
--- a/src/state/committer.ts
+++ b/src/state/committer.ts
@@ -242,6 +242,17 @@
     });
   }
 
+  /** Lets decisions about a record that wait for their turn go with more urgent ones than they were handed in with. */
+  promote(concerns: (key: string) => boolean, from: Priority, to: Priority): void {
+    const queue = this.queues.get(from)!;
+    const chosen = queue.filter(({ company }) => company !== undefined && concerns(company.key));
+    if (chosen.length === 0) return;
+    queue.splice(0, queue.length, ...queue.filter((intent) => !chosen.includes(intent)));
+    for (const intent of chosen) intent.priority = to;
+    this.queues.get(to)!.push(...chosen);
+    this.wake();
+  }
+
   /** Exits of batch work wait for more of their kind. */
   private gather(priority: Priority): void {
     const now = this.clock.now();
--- /dev/null
+++ b/src/testing/play-large.ts
@@ -0,0 +1,45 @@
+/**
+ * Plays a large cluster: `npm run large -- 4000` machines with three controllers that all end at once, of which then one is left alone,
+ * and prints what each controller knows. Ends with the rules that were broken, if any.
+ */
+import { Cluster } from './cluster.js';
+import { SITES } from './random-schedule.js';
+
+const NODES = [0, 1, 2];
+const JOBS = 8;
+const SHARDS_OF_A_JOB = 500;
+
+const machines = Number(process.argv[2] ?? '4000');
+const cluster = new Cluster({ nodes: NODES.length, teams: [{ name: 'red', cpus_max: 100_000 }] });
+for (let n = 0; n < machines; n++) {
+  cluster.addWorker({ host: `i-${String(n).padStart(6, '0')}`, site: SITES[n % 3]!, runMs: 30_000 });
+}
+
+function show(moment: string): void {
+  const words = NODES.filter((node) => cluster.has(node)).map((node) => {
+    const { fleet, owner } = cluster.node(node);
+    return `n${node} knows ${fleet.all().size}, owns ${owner.workers.size}, may use ${fleet.open().length}`;
+  });
+  console.log(`${moment}: ${words.join('; ')}`);
+}
+
+await cluster.advance(10_000);
+show('at the start');
+for (let n = 0; n < JOBS; n++) {
+  await cluster.submit({ Ref: `j-${n}`, Shards: SHARDS_OF_A_JOB, Cpus: 4 }, n % NODES.length);
+}
+await cluster.advance(10_000);
+for (const node of NODES) cluster.crash(node);
+await cluster.advance(1000);
+for (const node of NODES) cluster.start(node);
+await cluster.advance(12_000);
+show('after all have ended');
+for (const node of NODES.slice(1)) cluster.crash(node);
+await cluster.advance(12_000);
+show('one alone');
+for (const node of NODES.slice(1)) cluster.start(node);
+await cluster.advance(15_000);
+show('all back');
+const broken = cluster.verdict();
+console.log(broken.length === 0 ? 'no rule was broken' : broken.join('\n'));
+process.exitCode = broken.length === 0 ? 0 : 1;
--- a/test/committer.test.ts
+++ b/test/committer.test.ts
@@ -3,7 +3,7 @@
 import { Priority } from '../src/net/token-bucket.js';
 import { Random } from '../src/net/random.js';
 import type { StateClient, TxnResult } from '../src/state/client.js';
-import { Committer } from '../src/state/committer.js';
+import { Committer, type Draft } from '../src/state/committer.js';
 import { Replica } from '../src/state/replica.js';
 import { FakeClock } from '../src/testing/fake-clock.js';
 
@@ -82,4 +82,33 @@
     assert.equal((await put('live/c', { text: 'x'.repeat(3000) })).kind, 'void');
     assert.equal(sent.length, 4);
   });
+
+  it('lets starts of a job that has become urgent leave the batch work behind', async () => {
+    const clock = new FakeClock();
+    const sent: string[] = [];
+    let isHeld = true;
+    const txn = async (_: unknown, writes: { key: string }[], priority: number): Promise<TxnResult> => {
+      // The first batch start hangs, and the others wait behind it.
+      while (isHeld && priority === Priority.background) await clock.sleep(10);
+      sent.push(...writes.map(({ key }) => key));
+      return { kind: 'done', epoch: 1 };
+    };
+    const client = { txn } as unknown as StateClient;
+    const limits = { ops: 1, batchOps: 1, conditions: 48, bytes: 60_000, valueBytes: 4096, lastingValueBytes: 4096 };
+    const committer = new Committer(client, new Replica(client, 'live/', clock), limits, 'live/', clock, new Random(1));
+    for (const key of ['live/a', 'live/b', 'live/c']) {
+      const decide = (draft: Draft): boolean => {
+        draft.set(key, {});
+        return true;
+      };
+      void committer.commit('start', Priority.background, decide, 5000, { key, shared: undefined });
+    }
+    await clock.advance(20);
+    committer.promote((key) => key === 'live/c', Priority.background, Priority.start);
+    await clock.advance(20);
+    assert.deepEqual(sent, ['live/c']);
+    isHeld = false;
+    await clock.advance(50);
+    assert.deepEqual(sent, ['live/c', 'live/a', 'live/b']);
+  });
 });
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -142,6 +142,27 @@
 });
 
 describe('a change of batch work', () => {
+  it('lets starts of batch work take turns with a backlog of its exits', async () => {
+    const clock = new FakeClock();
+    const bucket = new TokenBucket(clock, 10, 10, 10);
+    const exits = async () => {
+      for (;;) await bucket.take(2, Priority.record);
+    };
+    // Several come at once, each time one has gone: the queue is never empty of them.
+    for (let n = 0; n < 3; n++) void exits();
+    await clock.advance(2000);
+    let starts = 0;
+    const starting = async () => {
+      for (;;) {
+        await bucket.take(2, Priority.background);
+        starts++;
+      }
+    };
+    void starting();
+    await clock.advance(10_000);
+    assert.ok(starts >= 5, `${starts} starts in 10 s`);
+  });
+
   it('gets its turn under a steady stream of urgent ones that leaves the bucket never full', async () => {
     const clock = new FakeClock();
     const bucket = new TokenBucket(clock, 10, 10, 10);
