--- a/src/api/job-lookup.ts
+++ b/src/api/job-lookup.ts
@@ -6,7 +6,8 @@
 import type { Clock } from '../net/clock.js';
 import { Priority } from '../net/token-bucket.js';
 import type { Condition, StateClient } from '../state/client.js';
-import type { Committer, TxnLimits } from '../state/committer.js';
+import type { Committer } from '../state/committer.js';
+import type { TxnLimits } from '../state/draft.js';
 import type { Replica } from '../state/replica.js';
 import { REF } from './submission.js';
 
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -73,11 +73,11 @@
  * Workers greeted at once after a takeover, at least, and as a share of those in use: hundreds of connections in one tick would
  * keep reports waiting, but all must have had their turn within a few seconds.
  */
-export const MAX_GREETINGS = 24;
-export const GREETINGS_SHARE = 0.05;
+export const MAX_TOKEN_ANNOUNCEMENTS = 24;
+export const TOKEN_ANNOUNCEMENTS_SHARE = 0.05;
 
 /** ms between two greetings of one worker: those who are not heard all get their turn. */
-export const GREET_AGAIN_MS = 5000;
+export const TOKEN_ANNOUNCE_AGAIN_MS = 5000;
 
 /** ms by which a peer's copy must be newer than ours to show that only we are cut off: more than two heartbeats. */
 export const PEER_LAG_MS = 2200;
@@ -279,10 +279,10 @@
 export const ROUND_TRIP_MS = 5400;
 
 /** Workers of other nodes whose last visit is kept, to tell late copies: more than the 4,000 machines of a large cluster. */
-export const STRANGERS_KEPT = 20_000;
+export const MISDIRECTED_WORKERS_KEPT = 20_000;
 
 /** Names of returned machines kept, so that late news of them are not believed: those of a large cluster several times over. */
-export const GONE_KEPT = 20_000;
+export const RETURNED_MACHINES_KEPT = 20_000;
 
 /** Share of a part's machines silent at once above which the node suspects itself, not the machines. */
 export const SELF_SUSPECT_SHARE = 0.4;
@@ -362,7 +362,7 @@
 export const MAX_RENT_AT_ONCE = 40;
 
 /** ms between two looks at workers that have not been heard since a takeover. */
-export const GREET_PERIOD_MS = 700;
+export const TOKEN_ANNOUNCE_PERIOD_MS = 700;
 
 /** ms between two sweeps for jobs that are over: `done` may be 3 s late. */
 export const FINISH_PERIOD_MS = 700;
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -2,7 +2,7 @@
 import {
   BATCH_GATHER_SHARE,
   GOSSIP_SOON_MS,
-  GREET_PERIOD_MS,
+  TOKEN_ANNOUNCE_PERIOD_MS,
   HTTP_SERVER_SOCKET_SHARE,
   SWEEP_MS,
   FORMAT_LOOK_MS,
@@ -33,7 +33,8 @@
 import { Random } from '../net/random.js';
 import { Happiness } from '../placement/happiness.js';
 import { StateClient } from '../state/client.js';
-import { Committer, txnLimits } from '../state/committer.js';
+import { Committer } from '../state/committer.js';
+import { txnLimits } from '../state/draft.js';
 import { Replica } from '../state/replica.js';
 import { followCatalog } from './catalog-records.js';
 import { Claims } from './claims.js';
@@ -56,7 +57,7 @@
 import { ReportService } from './report-service.js';
 import { TeamSettlement } from './team-settlement.js';
 import { WithdrawalEnforcer } from './withdrawal-enforcer.js';
-import { WorkerGreeter } from './worker-greeter.js';
+import { TokenAnnouncer } from './token-announcer.js';
 
 /** One controller: all parts of the service, joined. */
 export class Controller {
@@ -193,32 +194,32 @@
       log,
     });
     this.fleet = new Fleet(settings, this.claims, this.owner, clock);
-    this.planner = new Planner(
+    this.planner = new Planner({
       settings,
       tuning,
-      this.claims,
-      this.book,
-      this.fleet,
-      this.committer,
+      claims: this.claims,
+      book: this.book,
+      fleet: this.fleet,
+      committer: this.committer,
       accounting,
       clock,
-      this.random,
+      random: this.random,
       log,
-    );
+    });
     const cloud = new CloudClient(http, settings.outside.cloud, settings.cluster.cloud.rps, clock);
-    this.leader = new Leader(
+    this.leader = new Leader({
       settings,
-      this.claims,
-      this.book,
-      this.fleet,
-      this.planner,
-      this.committer,
+      claims: this.claims,
+      book: this.book,
+      fleet: this.fleet,
+      planner: this.planner,
+      committer: this.committer,
       accounting,
       cloud,
-      this.peers,
+      peers: this.peers,
       clock,
       log,
-    );
+    });
     this.rescheduler = new Rescheduler(
       tuning,
       this.claims,
@@ -365,7 +366,7 @@
   async duties(signal: AbortSignal): Promise<void> {
     const { clock, log, claims, book, owner, fleet, leader } = this;
     const periodic = { clock, log, signal };
-    const greeter = new WorkerGreeter({ claims, book, owner, fleet, leader });
+    const announcer = new TokenAnnouncer({ claims, book, owner, fleet, leader });
     await Promise.all([
       this.replica.run(signal),
       this.claims.run(signal),
@@ -376,7 +377,7 @@
       every(FINISH_PERIOD_MS, periodic, () => this.cleanUp()),
       every(SWEEP_MS, periodic, () => this.rebalancer.rebalance()),
       every(SWEEP_MS, periodic, () => this.withdrawalEnforcer.sweep()),
-      every(GREET_PERIOD_MS, periodic, () => greeter.greet()),
+      every(TOKEN_ANNOUNCE_PERIOD_MS, periodic, () => announcer.announce()),
       every(PIPELINE_SWEEP_MS, periodic, () => this.pipelineProgress.sweep()),
       every(TEAM_SETTLE_MS, periodic, () => this.teamSettlement.look()),
       every(FORMAT_LOOK_MS, periodic, () => this.formatUpgrade.look()),
--- a/src/controller/fleet.ts
+++ b/src/controller/fleet.ts
@@ -3,11 +3,11 @@
   FAULTY_JOB_SHARE,
   FLEET_VIEW_MS,
   FORGET_MACHINE_MS,
-  GONE_KEPT,
+  RETURNED_MACHINES_KEPT,
   GOSSIP_STALE_MS,
   SICK_ERRORS,
   SILENT_REPORTS,
-  STRANGERS_KEPT,
+  MISDIRECTED_WORKERS_KEPT,
 } from '../constants.js';
 import type { Settings } from '../config/settings.js';
 import type { Clock } from '../net/clock.js';
@@ -200,7 +200,7 @@
     if (older(this.told.get(report.host)) || older(this.seen.get(report.host))) return true;
     this.seen.delete(report.host);
     this.seen.set(report.host, { tenure: report.tenure, tick: report.tick });
-    if (this.seen.size > STRANGERS_KEPT) this.seen.delete(this.seen.keys().next().value!);
+    if (this.seen.size > MISDIRECTED_WORKERS_KEPT) this.seen.delete(this.seen.keys().next().value!);
     return false;
   }
 
@@ -220,7 +220,7 @@
   remove(host: string): void {
     if (this.gone.has(host)) return;
     this.gone.set(host, this.clock.now());
-    if (this.gone.size > GONE_KEPT) this.gone.delete(this.gone.keys().next().value!);
+    if (this.gone.size > RETURNED_MACHINES_KEPT) this.gone.delete(this.gone.keys().next().value!);
     this.told.delete(host);
     this.knownAt.delete(host);
     this.owner.workers.remove(host);
--- a/src/controller/format-upgrade.ts
+++ b/src/controller/format-upgrade.ts
@@ -5,7 +5,8 @@
  */
 import { FORMAT_COMPLETE_KEY, formatKey, RECORD_FORMAT, type FormatRecord } from '../ledger/records.js';
 import { Priority } from '../net/token-bucket.js';
-import type { Committer, Draft } from '../state/committer.js';
+import type { Committer } from '../state/committer.js';
+import type { Draft } from '../state/draft.js';
 import type { Replica } from '../state/replica.js';
 import type { Log } from './log.js';
 
--- /dev/null
+++ b/src/controller/gang-attempts.ts
@@ -0,0 +1,57 @@
+/** Under which attempt the tasks of a gang start that have no place: all anew, or as replacements in one that has not begun. */
+import type { Settings } from '../config/settings.js';
+import type { JobView } from '../ledger/book.js';
+import type { Clock } from '../net/clock.js';
+import type { Fleet } from './fleet.js';
+
+export interface GangAttemptsDependencies {
+  workers: Settings['cluster']['workers'];
+  fleet: Fleet;
+  clock: Clock;
+}
+
+export class GangAttempts {
+  /** Steady ms since when a gang with members on their machines is seen to lack others. */
+  private readonly brokenSince = new Map<string, number>();
+
+  constructor(private readonly dependencies: GangAttemptsDependencies) {}
+
+  /** The attempt under which the missing members are to start; undefined: not now. */
+  attemptFor(view: JobView): number | undefined {
+    const { workers, fleet, clock } = this.dependencies;
+    // Members that are on their machines but have not started yet wait for a replacement under the same attempt.
+    let highest = 0;
+    let placed: number | undefined;
+    let heardAt = Infinity;
+    for (const [, slot] of view.known()) {
+      if (slot.kind === 'done') return undefined;
+      highest = Math.max(highest, slot.attempt);
+      if (slot.kind === 'placed') {
+        if (slot.stop !== null || (placed !== undefined && placed !== slot.attempt)) return undefined;
+        placed = slot.attempt;
+        heardAt = Math.min(heardAt, fleet.get(slot.host)?.heardAt ?? -Infinity);
+      }
+    }
+    if (placed === undefined) {
+      this.brokenSince.delete(view.ref);
+      return highest + 1;
+    }
+    // Had it started, the others notice the loss and exit; only if they are seen to stay were they still waiting.
+    const now = clock.now();
+    const since = this.brokenSince.get(view.ref) ?? now;
+    this.brokenSince.set(view.ref, since);
+    const { gang_peer_s, report_s } = workers;
+    const noticedAt = since + (gang_peer_s + report_s) * 1000;
+    return heardAt > noticedAt && now - since > (gang_peer_s + 3 * report_s) * 1000 ? placed : undefined;
+  }
+
+  /** The gang is whole: its next loss is told anew. */
+  forget(ref: string): void {
+    this.brokenSince.delete(ref);
+  }
+
+  /** Forgets the gangs that are over. */
+  prune(isLive: (ref: string) => boolean): void {
+    for (const ref of this.brokenSince.keys()) if (!isLive(ref)) this.brokenSince.delete(ref);
+  }
+}
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -22,7 +22,8 @@
 import { exitPriority } from '../placement/queue.js';
 import { cutZones, machinesToGiveUp, type Watched } from '../placement/silence.js';
 import { belowReserve, bootLimitMs } from '../placement/renting.js';
-import type { Committer, Draft } from '../state/committer.js';
+import type { Committer } from '../state/committer.js';
+import type { Draft } from '../state/draft.js';
 import type { Peers } from '../mesh/peers.js';
 import { reportLateMs, silenceLimitMs } from '../workers/worker.js';
 import { LEADER, partitionRole, type Claims } from './claims.js';
@@ -33,8 +34,33 @@
 import { Renter } from './renter.js';
 import { Stopper } from './stopper.js';
 
+export interface LeaderDependencies {
+  settings: Settings;
+  claims: Claims;
+  book: Book;
+  fleet: Fleet;
+  planner: Planner;
+  committer: Committer;
+  accounting: TeamAccounting;
+  cloud: CloudClient;
+  peers: Peers;
+  clock: Clock;
+  log: Log;
+}
+
 /** What the leader does for the whole cluster: catalogue, renting and returning, drains, preemption. */
 export class Leader {
+  private readonly settings: Settings;
+  private readonly claims: Claims;
+  private readonly book: Book;
+  private readonly fleet: Fleet;
+  private readonly planner: Planner;
+  private readonly committer: Committer;
+  private readonly accounting: TeamAccounting;
+  private readonly cloud: CloudClient;
+  private readonly peers: Peers;
+  private readonly clock: Clock;
+  private readonly log: Log;
   private listed = new Map<string, ListedMachine>();
   private readonly idleSince = new Map<string, number>();
   private readonly sickSince = new Map<string, number>();
@@ -49,19 +75,30 @@
   /** When each zone was last seen cut off. */
   private readonly cutAt = new Map<string, number>();
 
-  constructor(
-    private readonly settings: Settings,
-    private readonly claims: Claims,
-    private readonly book: Book,
-    private readonly fleet: Fleet,
-    private readonly planner: Planner,
-    private readonly committer: Committer,
-    private readonly accounting: TeamAccounting,
-    private readonly cloud: CloudClient,
-    private readonly peers: Peers,
-    private readonly clock: Clock,
-    private readonly log: Log,
-  ) {
+  constructor({
+    settings,
+    claims,
+    book,
+    fleet,
+    planner,
+    committer,
+    accounting,
+    cloud,
+    peers,
+    clock,
+    log,
+  }: LeaderDependencies) {
+    this.settings = settings;
+    this.claims = claims;
+    this.book = book;
+    this.fleet = fleet;
+    this.planner = planner;
+    this.committer = committer;
+    this.accounting = accounting;
+    this.cloud = cloud;
+    this.peers = peers;
+    this.clock = clock;
+    this.log = log;
     this.stopper = new Stopper(claims, book, committer, clock, log);
     this.preempter = new Preempter(settings, book, fleet, planner, this.stopper, clock);
     this.renter = new Renter(settings, claims, book, fleet, planner, committer, cloud, clock, log, () => this.listed);
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -1,9 +1,9 @@
 import {
   FORGET_WORKER_LEASES,
   FRESH_MS,
-  GREET_AGAIN_MS,
-  GREETINGS_SHARE,
-  MAX_GREETINGS,
+  TOKEN_ANNOUNCE_AGAIN_MS,
+  TOKEN_ANNOUNCEMENTS_SHARE,
+  MAX_TOKEN_ANNOUNCEMENTS,
   MAX_ORDERS_BYTES,
   PUSH_GATHER_MS,
   RAISE_PAUSE_MS,
@@ -91,8 +91,8 @@
   private readonly stragglers: Stragglers;
   /** Steady ms of the next push to each machine. */
   private readonly pushes = new Map<string, number>();
-  private greeting = 0;
-  private readonly greetedAt = new Map<string, number>();
+  private announcing = 0;
+  private readonly tokenAnnouncedAt = new Map<string, number>();
   private readonly raisedAt = new Map<string, number>();
 
   constructor(dependencies: OwnerDependencies) {
@@ -327,7 +327,8 @@
   private sweep(): void {
     const now = this.clock.now();
     this.misdirected.prune(now);
-    for (const [host, at] of this.greetedAt) if (now - at > GREET_AGAIN_MS) this.greetedAt.delete(host);
+    for (const [host, at] of this.tokenAnnouncedAt)
+      if (now - at > TOKEN_ANNOUNCE_AGAIN_MS) this.tokenAnnouncedAt.delete(host);
     this.freeDeadLeases();
     this.stragglers.relieve(this.workers.values(), (host) => this.roleOf(host));
     this.forgetSilent(now);
@@ -369,18 +370,19 @@
   }
 
   /** Pushes the fence to workers that have not been heard since the takeover, so that old commands are refused. */
-  async greet(host: string, endpoint: string, tenure: number): Promise<void> {
+  async announceToken(host: string, endpoint: string, tenure: number): Promise<void> {
     const held = this.claims.holding(this.roleOf(host));
     if (held === undefined || this.workers.has(host)) return;
     // The next look comes soon, and most workers report before their turn.
     // Those that don't answer must not keep the others from theirs.
     const now = this.clock.now();
-    const most = Math.max(MAX_GREETINGS, this.book.hostsInUseCount * GREETINGS_SHARE);
-    if (this.greeting >= most || now - (this.greetedAt.get(host) ?? -Infinity) < GREET_AGAIN_MS) return;
-    this.greetedAt.set(host, now);
-    this.greeting++;
+    const most = Math.max(MAX_TOKEN_ANNOUNCEMENTS, this.book.hostsInUseCount * TOKEN_ANNOUNCEMENTS_SHARE);
+    if (this.announcing >= most || now - (this.tokenAnnouncedAt.get(host) ?? -Infinity) < TOKEN_ANNOUNCE_AGAIN_MS)
+      return;
+    this.tokenAnnouncedAt.set(host, now);
+    this.announcing++;
     const result = await sendCommands(this.http, endpoint, held.fence, tenure, []);
-    this.greeting--;
+    this.announcing--;
     const isSame = this.claims.holding(this.roleOf(host))?.acquisition === held.acquisition;
     if (!isSame || !('report' in result) || result.report?.host !== host) return;
     const worker = this.workers.get(host) ?? new Worker(host);
--- a/src/controller/planner.ts
+++ b/src/controller/planner.ts
@@ -22,11 +22,21 @@
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
 import { Priority } from '../net/token-bucket.js';
-import { before, isFeasible, startPriority, targetsOf, withinGuarantee, type Candidate } from '../placement/queue.js';
+import {
+  before,
+  isFeasible,
+  startByOf,
+  startPriority,
+  targetsOf,
+  withinGuarantee,
+  type Candidate,
+} from '../placement/queue.js';
 import { roomOfFlavor } from '../placement/renting.js';
-import type { Committer, Draft } from '../state/committer.js';
+import type { Committer } from '../state/committer.js';
+import type { Draft } from '../state/draft.js';
 import { LEADER, partitionRole, type Claims } from './claims.js';
 import type { Fleet, MachineInfo } from './fleet.js';
+import { GangAttempts } from './gang-attempts.js';
 import type { Log } from './log.js';
 import { isLarge, Placer, type Waiting } from './placer.js';
 import { Pools, type Pool } from './pools.js';
@@ -43,14 +53,35 @@
   attempt: number;
 }
 
+export interface PlannerDependencies {
+  settings: Settings;
+  tuning: Tuning;
+  claims: Claims;
+  book: Book;
+  fleet: Fleet;
+  committer: Committer;
+  accounting: TeamAccounting;
+  clock: Clock;
+  random: Random;
+  log: Log;
+}
+
 /** Finds places for waiting tasks: an owner for small jobs of its partitions, the leader for the rest. */
 export class Planner {
+  private readonly settings: Settings;
+  private readonly claims: Claims;
+  private readonly book: Book;
+  private readonly fleet: Fleet;
+  private readonly committer: Committer;
+  private readonly accounting: TeamAccounting;
+  private readonly clock: Clock;
+  private readonly log: Log;
   private readonly flights = new Map<string, Flight>();
   /** The flying shards of each job. */
   private readonly flying = new Map<string, Set<number>>();
   /** Run time over estimate, by class. */
   private readonly ratios = new Map<string, number>();
-  private readonly brokenGangs = new Map<string, number>();
+  private readonly gangs: GangAttempts;
   private readonly failures = new Map<string, { fails: number; until: number }>();
   private readonly teams: Map<string, Team>;
   private readonly placer: Placer;
@@ -63,19 +94,28 @@
   /** What found no place in the leader's last round: what machines are rented and tasks preempted for. */
   unplaced: Waiting[] = [];
 
-  constructor(
-    private readonly settings: Settings,
-    tuning: Tuning,
-    private readonly claims: Claims,
-    private readonly book: Book,
-    private readonly fleet: Fleet,
-    private readonly committer: Committer,
-    private readonly accounting: TeamAccounting,
-    private readonly clock: Clock,
-    random: Random,
-    private readonly log: Log,
-  ) {
+  constructor({
+    settings,
+    tuning,
+    claims,
+    book,
+    fleet,
+    committer,
+    accounting,
+    clock,
+    random,
+    log,
+  }: PlannerDependencies) {
+    this.settings = settings;
+    this.claims = claims;
+    this.book = book;
+    this.fleet = fleet;
+    this.committer = committer;
+    this.accounting = accounting;
+    this.clock = clock;
+    this.log = log;
     this.teams = new Map(settings.cluster.teams.map((team) => [team.name, team]));
+    this.gangs = new GangAttempts({ workers: settings.cluster.workers, fleet, clock });
     this.placer = new Placer(tuning, book, fleet, clock, random);
   }
 
@@ -175,33 +215,6 @@
     return list;
   }
 
-  private gangAttempt(view: JobView): number | undefined {
-    // Members that are on their machines but have not started yet wait for a replacement under the same attempt.
-    let highest = 0;
-    let placed: number | undefined;
-    let heardAt = Infinity;
-    for (const [, slot] of view.known()) {
-      if (slot.kind === 'done') return undefined;
-      highest = Math.max(highest, slot.attempt);
-      if (slot.kind === 'placed') {
-        if (slot.stop !== null || (placed !== undefined && placed !== slot.attempt)) return undefined;
-        placed = slot.attempt;
-        heardAt = Math.min(heardAt, this.fleet.get(slot.host)?.heardAt ?? -Infinity);
-      }
-    }
-    if (placed === undefined) {
-      this.brokenGangs.delete(view.ref);
-      return highest + 1;
-    }
-    // Had it started, the others notice the loss and exit; only if they are seen to stay were they still waiting.
-    const now = this.clock.now();
-    const since = this.brokenGangs.get(view.ref) ?? now;
-    this.brokenGangs.set(view.ref, since);
-    const { gang_peer_s, report_s } = this.settings.cluster.workers;
-    const noticedAt = since + (gang_peer_s + report_s) * 1000;
-    return heardAt > noticedAt && now - since > (gang_peer_s + 3 * report_s) * 1000 ? placed : undefined;
-  }
-
   private candidates(): Candidate[] {
     const uses = this.uses();
     const list: Candidate[] = [];
@@ -209,7 +222,7 @@
     for (const view of this.book.jobs.values()) {
       const { spec, phase } = view.record;
       // A gang that is whole again has forgotten its last loss: the next one is told from it.
-      if (view.done + view.placed === spec.Shards) this.brokenGangs.delete(view.ref);
+      if (view.done + view.placed === spec.Shards) this.gangs.forget(view.ref);
       if (phase !== 'active' || view.done + view.placed === spec.Shards) continue;
       const team = this.teams.get(spec.Owner);
       if (team === undefined) continue;
@@ -222,7 +235,7 @@
         feasible: isFeasible(targetsOf(view.record, this.settings.cluster.objectives), needS, now),
         work: open * spec.Cpus * needS,
         overdue: spec.Shape === 'array' && open === spec.Shards && now - runnableSince(view.record) > BEGIN_WITHIN_MS,
-        startBy: startBy(view, needS),
+        startBy: startByOf(view.record, view.finishBy, needS),
       });
     }
     return list.sort(before);
@@ -290,7 +303,7 @@
     const use = uses.get(spec.Owner) ?? { cpus: 0, cards: 0 };
     uses.set(spec.Owner, use);
     const gang = spec.Shape === 'ensemble';
-    const attempt = gang ? this.gangAttempt(view) : undefined;
+    const attempt = gang ? this.gangs.attemptFor(view) : undefined;
     if (gang && attempt === undefined) return;
     // What the team's limit leaves room for; waiting for that is not a lack of machines.
     let allowed = 0;
@@ -406,7 +419,7 @@
   private round(): void {
     const began = this.clock.now();
     for (const [name, failure] of this.failures) if (began > failure.until + RETRY_MAX_MS) this.failures.delete(name);
-    for (const ref of this.brokenGangs.keys()) if (!this.book.jobs.has(ref)) this.brokenGangs.delete(ref);
+    this.gangs.prune((ref) => this.book.jobs.has(ref));
     this.plan();
     const now = this.clock.now();
     // Changes come by the dozen a second: a plan that takes long is made more rarely, and takes them together.
@@ -415,13 +428,6 @@
   }
 }
 
-/** Time of day, ms, by which a job of a pipeline must start; Infinity for all others. */
-function startBy({ finishBy, record }: JobView, needS: number): number {
-  const { spec, at, releasedAt } = record;
-  const isLast = finishBy === Infinity && releasedAt !== undefined && spec.DueS !== null;
-  return (isLast ? at + spec.DueS! * 1000 : finishBy) - needS * 1000;
-}
-
 /** ms from the end of a plan that took so long to the next, which may take a share of the time. */
 export const planRestMs = (tookMs: number, share: number): number =>
   Math.max(Math.min(MAX_PLAN_REST_MS, tookMs * (1 / share - 1)), tookMs * PLAN_REST_LEAST);
--- a/src/controller/worker-greeter.ts
+++ b/src/controller/token-announcer.ts
@@ -13,10 +13,10 @@
   leader: Leader;
 }
 
-export class WorkerGreeter {
+export class TokenAnnouncer {
   constructor(private readonly dependencies: WorkerGreeterDependencies) {}
 
-  greet(): void {
+  announce(): void {
     const { claims, book, owner } = this.dependencies;
     if (!claims.inTouch) return;
     for (const host of book.hostsInUse()) {
@@ -25,7 +25,7 @@
       if (endpoint === undefined) continue;
       let tenure = 0;
       for (const place of book.placesOn(host)) tenure = Math.max(tenure, place.slot.tenure);
-      void owner.greet(host, endpoint, tenure);
+      void owner.announceToken(host, endpoint, tenure);
     }
   }
 
--- a/src/controller/withdrawal-enforcer.ts
+++ b/src/controller/withdrawal-enforcer.ts
@@ -1,4 +1,4 @@
-import { GREET_AGAIN_MS, MAX_GREETINGS } from '../constants.js';
+import { TOKEN_ANNOUNCE_AGAIN_MS, MAX_TOKEN_ANNOUNCEMENTS } from '../constants.js';
 import type { Book } from '../ledger/book.js';
 import { shardName } from '../ledger/records.js';
 import type { Clock } from '../net/clock.js';
@@ -32,10 +32,10 @@
 
   sweep(): void {
     const now = this.clock.now();
-    for (const [host, at] of this.sentAt) if (now - at > GREET_AGAIN_MS) this.sentAt.delete(host);
+    for (const [host, at] of this.sentAt) if (now - at > TOKEN_ANNOUNCE_AGAIN_MS) this.sentAt.delete(host);
     for (const [host, { fence, tenure, orders }] of this.leftOver()) {
       const endpoint = this.fleet.get(host)?.endpoint;
-      if (endpoint === undefined || this.sentAt.has(host) || this.sending >= MAX_GREETINGS) continue;
+      if (endpoint === undefined || this.sentAt.has(host) || this.sending >= MAX_TOKEN_ANNOUNCEMENTS) continue;
       this.sentAt.set(host, now);
       this.sending++;
       this.log.info({ machine: host, tasks: orders.length }, 'tasks of withdrawn jobs stopped for their owner');
--- a/src/ledger/edits.ts
+++ b/src/ledger/edits.ts
@@ -1,5 +1,5 @@
 import type { Team } from '../config/settings.js';
-import type { Draft } from '../state/committer.js';
+import type { Draft } from '../state/draft.js';
 import {
   chunkCount,
   chunkKey,
--- a/src/ledger/pipeline-edits.ts
+++ b/src/ledger/pipeline-edits.ts
@@ -1,5 +1,5 @@
 /** The edits that move jobs on which wait for others. Each is one write under the condition that the job still waits. */
-import type { Draft } from '../state/committer.js';
+import type { Draft } from '../state/draft.js';
 import { readJob } from './edits.js';
 import { decodeEnded, endedKey, jobKey, type EndedRecord, type JobRecord } from './records.js';
 
--- a/src/ledger/team-accounting.ts
+++ b/src/ledger/team-accounting.ts
@@ -6,7 +6,7 @@
  */
 import { TEAM_DEFER_SHARE } from '../constants.js';
 import type { Team } from '../config/settings.js';
-import type { Draft } from '../state/committer.js';
+import type { Draft } from '../state/draft.js';
 import type { Stored } from '../state/replica.js';
 import { decodeTeam, teamKey, type JobSpec, type TeamRecord } from './records.js';
 import { isLimited, round } from './rules.js';
--- a/src/placement/queue.ts
+++ b/src/placement/queue.ts
@@ -74,6 +74,15 @@
 export const isFeasible = (targets: readonly number[], needS: number, wall: number): boolean =>
   targets.length === 0 || targets.some((target) => target >= wall + needS * 1000);
 
+/**
+ * Time of day, ms, by which a job of a pipeline must start; Infinity for all others. `finishBy`: when it must be complete for
+ * the sake of the jobs that need it.
+ */
+export function startByOf({ spec, at, releasedAt }: JobRecord, finishBy: number, needS: number): number {
+  const isLast = finishBy === Infinity && releasedAt !== undefined && spec.DueS !== null;
+  return (isLast ? at + spec.DueS! * 1000 : finishBy) - needS * 1000;
+}
+
 /** An overdue array stands among those of rank normal, if its own is lower. */
 const rankWith = ({ overdue, record }: Candidate): number => {
   const rank = RANKS.indexOf(record.spec.Rank);
--- a/src/state/committer.ts
+++ b/src/state/committer.ts
@@ -1,151 +1,19 @@
 import {
-  BATCH_TXN_LEAST,
-  BATCH_TXN_SHARE,
   BUSY_PAUSE_MS,
-  CONDITIONS_PER_WRITE,
   FINAL_CACHE,
   MAX_FLIGHTS,
   MAX_INTENTS,
-  MAX_TXN_BYTES,
   OUTAGE_PAUSE_MS,
   PACK_MISSES,
   PACK_TRIES,
   URGENT_RETRY_SHARE,
 } from '../constants.js';
-import type { Settings } from '../config/settings.js';
-import { lastingLimits, presentLimits } from '../config/state-limits.js';
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
 import { isBatch, Priority } from '../net/token-bucket.js';
 import type { Change, Condition, StateClient, Write } from './client.js';
+import { Draft, type Resize, type TxnLimits } from './draft.js';
 import type { Replica, Stored } from './replica.js';
-import { jsonLength } from './sizes.js';
-
-/** Room in one transaction. */
-export interface TxnLimits {
-  ops: number;
-  /** Changes beyond which no other intent is added to a transaction. */
-  batchOps: number;
-  conditions: number;
-  bytes: number;
-  /** Bytes of one value, now and after an announced change of the limit. */
-  valueBytes: number;
-  lastingValueBytes: number;
-}
-
-/** Room that is left after an announced change of the store's limits too; but what is stored already may be larger. */
-export function txnLimits(state: Settings['cluster']['state']): TxnLimits {
-  const { transactionWrites, writesPerSecond, valueBytes } = lastingLimits(state);
-  const batchOps = Math.max(BATCH_TXN_LEAST, Math.floor(writesPerSecond * BATCH_TXN_SHARE));
-  return {
-    ops: transactionWrites,
-    batchOps: Math.min(transactionWrites, batchOps),
-    conditions: transactionWrites * CONDITIONS_PER_WRITE,
-    bytes: MAX_TXN_BYTES,
-    valueBytes: presentLimits(state).valueBytes,
-    lastingValueBytes: valueBytes,
-  };
-}
-
-const bytesOf = (key: string, value: unknown): number => key.length + 40 + jsonLength(value);
-const CONDITION_BYTES = 30;
-
-/** The form in which a record is written, of a size that the store takes. */
-export type Resize = (key: string, value: unknown) => unknown;
-
-/**
- * A transaction under construction: every record that a decision reads becomes a condition. A draft over another sees that
- * one's writes; it is merged into it if it is kept, so that trying one more decision costs no more than its own records.
- */
-export class Draft {
-  readonly conditions = new Map<string, number>();
-  readonly writes = new Map<string, unknown>();
-  /** The holds that written keys live on. */
-  readonly holds = new Map<string, number>();
-  private readonly sizes = new Map<string, number>();
-  private bytes = 0;
-
-  constructor(
-    private readonly read: (key: string) => Stored,
-    private readonly below?: Draft,
-    private readonly resize: Resize = (_, value) => value,
-  ) {}
-
-  /** The draft that this one sees below itself, down to the records, or the one that has written the key already. */
-  private writer(key: string): Draft | undefined {
-    return this.writes.has(key) ? this : this.below?.writer(key);
-  }
-
-  /** Does this draft, or one below it, change the key? */
-  hasWritten(key: string): boolean {
-    return this.writer(key) !== undefined;
-  }
-
-  get(key: string): unknown {
-    const writer = this.writer(key);
-    if (writer !== undefined) return writer.writes.get(key);
-    const row = this.read(key);
-    this.conditions.set(key, row.stamp);
-    return row.value;
-  }
-
-  /** Reads without making it a condition: only for what can't change any more. */
-  peek(key: string): unknown {
-    const writer = this.writer(key);
-    return writer !== undefined ? writer.writes.get(key) : this.read(key).value;
-  }
-
-  set(key: string, value: unknown): void {
-    if (!this.conditions.has(key)) this.conditions.set(key, this.read(key).stamp);
-    this.writes.set(key, this.resize(key, value));
-  }
-
-  /** Sets a key that goes with a hold. */
-  setUnderHold(key: string, value: unknown, latch: number): void {
-    this.set(key, value);
-    this.holds.set(key, latch);
-  }
-
-  drop(key: string): void {
-    this.set(key, undefined);
-  }
-
-  over(): Draft {
-    return new Draft(this.read, this, this.resize);
-  }
-
-  /** Would this draft, merged into the one below it, still be one transaction? */
-  fits(limits: TxnLimits, ops = limits.ops): boolean {
-    const { below } = this;
-    let writes = below?.writes.size ?? 0;
-    let conditions = below?.conditions.size ?? 0;
-    let bytes = below?.bytes ?? 0;
-    for (const [key, value] of this.writes) {
-      const size = bytesOf(key, value);
-      if (value !== undefined && jsonLength(value) > limits.valueBytes) return false;
-      this.sizes.set(key, size);
-      const old = below?.sizes.get(key);
-      if (old === undefined) writes++;
-      bytes += size - (old ?? 0);
-    }
-    for (const key of this.conditions.keys()) {
-      if (below?.conditions.has(key) === true) continue;
-      conditions++;
-      bytes += key.length + CONDITION_BYTES;
-    }
-    this.bytes = bytes;
-    return writes <= ops && conditions <= limits.conditions && bytes <= limits.bytes;
-  }
-
-  /** Takes in a draft over this one, whose `fits` has been asked. */
-  merge(above: Draft): void {
-    for (const [key, stamp] of above.conditions) if (!this.conditions.has(key)) this.conditions.set(key, stamp);
-    for (const [key, value] of above.writes) this.writes.set(key, value);
-    for (const [key, size] of above.sizes) this.sizes.set(key, size);
-    this.bytes = above.bytes;
-    for (const [key, latch] of above.holds) this.holds.set(key, latch);
-  }
-}
 
 /**
  * What somebody wants to change, as a function of the records as they are when it is tried. It may be called several
--- a/test/committer.test.ts
+++ b/test/committer.test.ts
@@ -3,7 +3,8 @@
 import { Priority } from '../src/net/token-bucket.js';
 import { Random } from '../src/net/random.js';
 import type { StateClient, TxnResult } from '../src/state/client.js';
-import { Committer, type Draft } from '../src/state/committer.js';
+import { Committer } from '../src/state/committer.js';
+import type { Draft } from '../src/state/draft.js';
 import { Replica } from '../src/state/replica.js';
 import { FakeClock } from '../src/testing/fake-clock.js';
 
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -7,7 +7,8 @@
 import { Priority } from '../src/net/token-bucket.js';
 import { Random } from '../src/net/random.js';
 import type { StateClient, TxnResult } from '../src/state/client.js';
-import { Committer, type Draft } from '../src/state/committer.js';
+import { Committer } from '../src/state/committer.js';
+import type { Draft } from '../src/state/draft.js';
 import { Replica } from '../src/state/replica.js';
 import { jsonLength } from '../src/state/sizes.js';
 import { Cluster } from '../src/testing/cluster.js';
--- a/test/pipeline-edits.test.ts
+++ b/test/pipeline-edits.test.ts
@@ -4,7 +4,7 @@
 import { cancelWaitingJob, releaseJob } from '../src/ledger/pipeline-edits.js';
 import { endedKey, jobKey, type JobRecord, type JobSpec } from '../src/ledger/records.js';
 import { whyNotStart } from '../src/ledger/rules.js';
-import { Draft } from '../src/state/committer.js';
+import { Draft } from '../src/state/draft.js';
 import { jobOf } from '../src/testing/fixtures.js';
 
 const REF = 'j-000002';
--- a/test/team-accounting.test.ts
+++ b/test/team-accounting.test.ts
@@ -3,7 +3,7 @@
 import type { Team } from '../src/config/settings.js';
 import { teamKey, type JobSpec, type TeamRecord } from '../src/ledger/records.js';
 import { TeamAccounting } from '../src/ledger/team-accounting.js';
-import { Draft } from '../src/state/committer.js';
+import { Draft } from '../src/state/draft.js';
 import { jobOf } from '../src/testing/fixtures.js';
 
 const team: Team = { name: 'red', cpus: 0, cpus_max: 20, gpus: 0, gpus_max: 0 };
