--- a/src/controller/pipeline-progress.ts
+++ b/src/controller/pipeline-progress.ts
@@ -49,29 +49,51 @@
     const { pipelines } = this.dependencies.book;
     const found = new Set(pipelines.successorsOf(ref));
     for (const each of found) for (const next of pipelines.successorsOf(each)) found.add(next);
-    for (const each of found) this.consider(each);
+    for (const each of found) if (this.isOurs(each)) this.cancel(each);
   }
 
-  /** Takes the step that a waiting job is ready for, if this node is to. */
+  /** Is the next step of a waiting job to be taken by this node, and not being taken yet? */
+  private isOurs(ref: string): boolean {
+    const { claims } = this.dependencies;
+    return !this.moving.has(ref) && claims.inTouch && isResponsibleFor(claims, ref);
+  }
+
+  /**
+   * Takes the step that a waiting job is ready for, if this node is to. Only the jobs that it names are looked at, so that a sweep
+   * over a long chain costs its length; a cancellation that no event has told of goes from one job to the next.
+   */
   private consider(ref: string): void {
-    const { claims, book, states, log } = this.dependencies;
-    if (this.moving.has(ref) || !claims.inTouch || !isResponsibleFor(claims, ref)) return;
-    const predecessors = book.pipelines.predecessorsOf(ref);
-    const standing = states.standingOfAll(predecessors);
-    if (standing === 'done') this.move(ref, 'release', (draft) => this.release(draft, ref));
-    else if (states.ancestryOf(predecessors).isCancelled)
-      this.move(ref, 'cancel', (draft) => cancelWaitingJob(draft, ref));
-    else if (standing === 'unknown') {
-      this.moving.add(ref);
-      void states.learn(predecessors.filter((each) => states.standingOf(each) === 'unknown')).then(() => {
-        this.moving.delete(ref);
-        const known = states.standingOfAll(book.pipelines.predecessorsOf(ref));
-        if (known !== 'unknown') this.consider(ref);
-        else log.debug({ job: ref }, 'how a job before it has ended is not known yet');
-      });
+    const { book, states } = this.dependencies;
+    if (!this.isOurs(ref)) return;
+    switch (states.standingOfAll(book.pipelines.predecessorsOf(ref))) {
+      case 'done':
+        return this.move(ref, 'release', (draft) => this.release(draft, ref));
+      case 'cancelled':
+        return this.cancel(ref);
+      case 'unknown':
+        return this.learn(ref);
+      case 'open':
+        return;
     }
   }
 
+  /** Reads how the jobs that a waiting one names have ended, and takes the step that follows. */
+  private learn(ref: string): void {
+    const { book, states, log } = this.dependencies;
+    const predecessors = book.pipelines.predecessorsOf(ref);
+    this.moving.add(ref);
+    void states.learn(predecessors.filter((each) => states.standingOf(each) === 'unknown')).then(() => {
+      this.moving.delete(ref);
+      const known = states.standingOfAll(book.pipelines.predecessorsOf(ref));
+      if (known !== 'unknown') this.consider(ref);
+      else log.debug({ job: ref }, 'how a job before it has ended is not known yet');
+    });
+  }
+
+  private cancel(ref: string): void {
+    this.move(ref, 'cancel', (draft) => cancelWaitingJob(draft, ref));
+  }
+
   private release(draft: Draft, ref: string): boolean {
     return releaseJob(draft, ref, Math.round(this.dependencies.clock.wall()));
   }
--- a/test/pipeline-index.test.ts
+++ b/test/pipeline-index.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { PipelineProgress, type PipelineProgressDependencies } from '../src/controller/pipeline-progress.js';
 import { Pipelines } from '../src/ledger/pipelines.js';
 import { RANKS, type JobRecord, type JobSpec } from '../src/ledger/records.js';
-import { jobOf } from '../src/testing/fixtures.js';
+import { jobOf, noLog } from '../src/testing/fixtures.js';
 
 let changes = 0;
 const pipelines = () => {
@@ -61,3 +62,34 @@
     assert.equal(index.urgencyOf('j-a').finishBy, 80_000);
   });
 });
+
+describe('the sweep over waiting jobs', () => {
+  it('costs a long chain its length, and takes the one step that is due', () => {
+    const index = pipelines();
+    const length = 2000;
+    for (let n = 1; n <= length; n++) index.update(`j-${n}`, waiting([`j-${n - 1}`]));
+    let looks = 0;
+    const steps: string[] = [];
+    const progress = new PipelineProgress({
+      claims: { inTouch: true, partitionOf: () => 0, holding: () => ({}) },
+      book: { pipelines: index, jobs: new Map() },
+      committer: {
+        commit: (name: string) => {
+          steps.push(name);
+          return Promise.resolve({ kind: 'void' });
+        },
+      },
+      states: {
+        standingOfAll: (predecessors: readonly string[]) => {
+          looks += predecessors.length;
+          return predecessors.includes('j-0') ? 'done' : 'open';
+        },
+      },
+      clock: { wall: () => 0 },
+      log: noLog,
+    } as unknown as PipelineProgressDependencies);
+    progress.sweep();
+    assert.equal(looks, length);
+    assert.deepEqual(steps, ['release']);
+  });
+});
