--- a/src/api/job-lookup.ts
+++ b/src/api/job-lookup.ts
@@ -1,5 +1,5 @@
 /** What is known of jobs: final states from memory, the others as new as the store's own. */
-import { POLL_DEADLINE_MS, POLL_GATHER_MS, FRESH_MS, QUEUED_FRESH_SHARE } from '../constants.js';
+import { FRESH_MS, POLL_COMPARISONS, POLL_DEADLINE_MS, POLL_GATHER_MS, QUEUED_FRESH_SHARE } from '../constants.js';
 import type { PredecessorStates } from '../controller/predecessor-states.js';
 import type { Book, JobView } from '../ledger/book.js';
 import { decodeEnded, ENDED_PREFIX, endedKey, jobKey } from '../ledger/records.js';
@@ -39,9 +39,6 @@
   cancelS: number;
 }
 
-/** Comparisons in a row, after each of which the records that differed are read again. */
-const COMPARISONS = 3;
-
 export class JobLookup {
   private questions: Question[] = [];
   private gathering = false;
@@ -102,7 +99,7 @@
   private async answer(batch: Question[]): Promise<void> {
     const { client, clock, states } = this.dependencies;
     let open = batch;
-    for (let round = 0; round < COMPARISONS && open.length > 0; round++) {
+    for (let round = 0; round < POLL_COMPARISONS && open.length > 0; round++) {
       await states.learn(open.flatMap(({ ref }) => this.unknownBefore(ref)));
       const now = clock.now();
       for (const each of open) if (now > each.deadline) each.resolve('no answer');
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -156,6 +156,12 @@
  */
 export const POLL_GATHER_MS = 250;
 
+/** Comparisons in a row for one question, after each of which the records that differed are read again. */
+export const POLL_COMPARISONS = 3;
+
+/** Changes that the end of a job takes at least: its final record, and the drop of its live one. */
+export const END_WRITES = 2;
+
 /** Users' requests in work at once; above it a node answers 429 at once, so that memory stays bounded. */
 export const MAX_OPEN_REQUESTS = 200;
 
--- a/src/controller/job-completion.ts
+++ b/src/controller/job-completion.ts
@@ -1,4 +1,5 @@
 /** Ends jobs whose tasks are all over, and removes what is left of the records of ended jobs. */
+import { END_WRITES } from '../constants.js';
 import type { Book } from '../ledger/book.js';
 import { endJob } from '../ledger/edits.js';
 import { releaseJob } from '../ledger/pipeline-edits.js';
@@ -13,9 +14,6 @@
 import type { PredecessorStates } from './predecessor-states.js';
 import { isResponsibleFor } from './responsibility.js';
 
-/** Changes that the end of a job takes at least: its final record, and the drop of its live one. */
-const END_WRITES = 2;
-
 export interface JobCompletionDependencies {
   claims: Claims;
   book: Book;
