Clean-up after reading the change: one test limit literal, one rule for a team's use, no constant or flag without use

LAST_TASKS was never used; FormatUpgrade kept a flag though its looks come one after the other; whether compact chunks are read was decided in two places; the smaller of a team's record and the ledger was worked out twice; seven tests wrote the same limits.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -70,13 +70,13 @@
 export const GOSSIP_VIEW_MS = 900;
 
 /**
- * Workers greeted at once after a takeover, at least, and as a share of those in use: hundreds of connections in one tick would
+ * Workers told the token at once after a takeover, at least, and as a share of those in use: hundreds of connections in one tick would
  * keep reports waiting, but all must have had their turn within a few seconds.
  */
 export const MAX_TOKEN_ANNOUNCEMENTS = 24;
 export const TOKEN_ANNOUNCEMENTS_SHARE = 0.05;
 
-/** ms between two greetings of one worker: those who are not heard all get their turn. */
+/** ms between two announcements of the token to one worker: those who are not heard all get their turn. */
 export const TOKEN_ANNOUNCE_AGAIN_MS = 5000;
 
 /** ms by which a peer's copy must be newer than ours to show that only we are cut off: more than two heartbeats. */
@@ -468,9 +468,6 @@
 /** ms between two looks at jobs that wait for others: only what an event has missed is found so. */
 export const PIPELINE_SWEEP_MS = 1000;
 
-/** Tasks left of a job from which its exits are recorded without delay, where other jobs wait for it. */
-export const LAST_TASKS = 4;
-
 /** Share of a cancellation's time within which a copy must have been complete to call a job that waits for others queued. */
 export const QUEUED_FRESH_SHARE = 0.5;
 
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -148,7 +148,7 @@
     this.committer.announce = (changes) => this.broadcast.announce(changes);
     this.committer.onRejected = (name, why) => log.error({ change: name, why }, 'the store does not take a change');
     const { valueBytes } = lastingLimits(settings.cluster.state);
-    this.committer.resize = recordSizer(valueBytes, (key) => this.replica.get(key).value);
+    this.committer.resize = recordSizer(valueBytes, () => this.formatUpgrade.isComplete);
     this.claims = new Claims(
       settings,
       this.client,
--- a/src/controller/format-upgrade.ts
+++ b/src/controller/format-upgrade.ts
@@ -24,8 +24,6 @@
 }
 
 export class FormatUpgrade {
-  private isCommitting = false;
-
   constructor(private readonly dependencies: FormatUpgradeDependencies) {}
 
   /** Does every controller read the present form? */
@@ -33,18 +31,16 @@
     return this.dependencies.replica.get(FORMAT_COMPLETE_KEY).value !== undefined;
   }
 
-  /** Says so of this process, and notes when all do. Called now and then. */
+  /** Says so of this process, and notes when all do. Called now and then, one look after the other. */
   async look(): Promise<void> {
     const { claims, committer, log } = this.dependencies;
-    if (this.isComplete || this.isCommitting || claims.hold === undefined || !claims.inTouch) return;
-    this.isCommitting = true;
+    if (this.isComplete || claims.hold === undefined || !claims.inTouch) return;
     if (!this.isAnnounced) await committer.commit('format', Priority.hold, (draft) => this.announce(draft));
     else if (this.areAllAnnounced) {
       const outcome = await committer.commit('format complete', Priority.hold, (draft) => this.complete(draft));
       if (outcome.kind === 'done')
         log.info({ format: RECORD_FORMAT }, 'all controllers read the present form of records');
     }
-    this.isCommitting = false;
   }
 
   private recordOf(node: string): FormatRecord | undefined {
--- a/src/ledger/record-sizes.ts
+++ b/src/ledger/record-sizes.ts
@@ -4,7 +4,7 @@
  * written, so nothing has to be converted, and it does not matter whether the limit has changed by then.
  */
 import { jsonLength } from '../state/sizes.js';
-import { compactChunk, FORMAT_COMPLETE_KEY, JOB_PREFIX, LEDGER_PREFIX, type JobRecord } from './records.js';
+import { compactChunk, JOB_PREFIX, LEDGER_PREFIX, type JobRecord } from './records.js';
 
 /** Whoever is called off starts no more tasks, so the machine types that its tasks could run on can go. */
 function withoutMachineTypes(value: unknown): unknown {
@@ -12,13 +12,12 @@
   return job.phase === 'withdrawn' ? { ...job, spec: { ...job.spec, Flavors: null } } : job;
 }
 
-/** The form in which a record is written. `read` gives the records as they are. */
-export function recordSizer(valueBytes: number, read: (key: string) => unknown) {
+/** The form in which a record is written. `isCompactRead`: do all controllers read compact chunks? */
+export function recordSizer(valueBytes: number, isCompactRead: () => boolean) {
   return (key: string, value: unknown): unknown => {
     if (value === undefined || jsonLength(value) <= valueBytes) return value;
     if (key.startsWith(JOB_PREFIX)) return withoutMachineTypes(value);
     // Earlier versions can't read compact chunks, and would lose sight of what is placed there.
-    const isCompactRead = read(FORMAT_COMPLETE_KEY) !== undefined;
-    return key.startsWith(LEDGER_PREFIX) && isCompactRead ? compactChunk(value) : value;
+    return key.startsWith(LEDGER_PREFIX) && isCompactRead() ? compactChunk(value) : value;
   };
 }
--- a/src/ledger/team-accounting.ts
+++ b/src/ledger/team-accounting.ts
@@ -44,10 +44,7 @@
     const isCounted = draft.hasWritten(key);
     const recorded = decodeTeam(draft.get(key));
     if (isCounted) return recorded;
-    // Every start changes the record, so its Stamp is that of the last one. Exits that the copy has not seen count as use.
-    const placed = this.dependencies.placedUse(team.name, draft.conditions.get(key) ?? Infinity);
-    if (placed === undefined) return recorded;
-    return { cpus: Math.min(recorded.cpus, placed.cpus), cards: Math.min(recorded.cards, placed.cards) };
+    return this.atMost(team.name, recorded, draft.conditions.get(key) ?? Infinity);
   }
 
   addStart(draft: Draft, team: Team, spec: JobSpec): void {
@@ -87,9 +84,17 @@
   private settledUse(team: string, { value, stamp }: Stored): TeamRecord | undefined {
     if (value === undefined) return undefined;
     const recorded = decodeTeam(value);
+    const use = this.atMost(team, recorded, stamp);
+    return use.cpus < recorded.cpus || use.cards < recorded.cards ? use : undefined;
+  }
+
+  /**
+   * The smaller of what the record and the ledger say. Every start changes the record, so its Stamp is that of the last one;
+   * exits that the copy has not seen count as use.
+   */
+  private atMost(team: string, recorded: TeamRecord, stamp: number): TeamRecord {
     const placed = this.dependencies.placedUse(team, stamp);
-    const isLess = placed !== undefined && (placed.cpus < recorded.cpus || placed.cards < recorded.cards);
-    if (!isLess) return undefined;
+    if (placed === undefined) return recorded;
     return { cpus: Math.min(recorded.cpus, placed.cpus), cards: Math.min(recorded.cards, placed.cards) };
   }
 
--- a/src/state/committer.ts
+++ b/src/state/committer.ts
@@ -256,14 +256,14 @@
    */
   private reject(batch: Intent[], why: string): void {
     this.limits = { ...this.limits, valueBytes: this.limits.lastingValueBytes };
-    const [first] = batch;
-    if (batch.length > 1 || first === undefined) {
+    if (batch.length > 1) {
       for (const intent of batch) intent.isAlone = true;
       this.again(batch);
       return;
     }
-    this.onRejected(first.name, why);
-    first.resolve({ kind: 'rejected', why });
+    const [only] = batch;
+    this.onRejected(only!.name, why);
+    only!.resolve({ kind: 'rejected', why });
   }
 
   private pause(priority: Priority, busy: boolean): void {
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -1,6 +1,7 @@
 /** Settings, jobs and machine types that scenarios start from. */
 import { parseSettings, type Settings, type Tuning } from '../config/settings.js';
 import type { Log } from '../controller/log.js';
+import type { TxnLimits } from '../state/draft.js';
 import type { ProgramVersion } from './cluster.js';
 
 export const noLog: Log = {
@@ -85,3 +86,14 @@
   SnapshotS: 0,
   ...fields,
 });
+
+/** Room in a transaction, where a test does not care for it. */
+export const anyTxnLimits = (fields: Partial<TxnLimits> = {}): TxnLimits => ({
+  ops: 12,
+  batchOps: 12,
+  conditions: 48,
+  bytes: 60_000,
+  valueBytes: 65_536,
+  lastingValueBytes: 65_536,
+  ...fields,
+});
--- a/test/committer.test.ts
+++ b/test/committer.test.ts
@@ -7,6 +7,7 @@
 import type { Draft } from '../src/state/draft.js';
 import { Replica } from '../src/state/replica.js';
 import { FakeClock } from '../src/testing/fake-clock.js';
+import { anyTxnLimits } from '../src/testing/fixtures.js';
 
 describe('the committer', () => {
   it('lets a submission pass batch starts that wait for the write rate', async () => {
@@ -21,14 +22,7 @@
     };
     const client = { txn } as unknown as StateClient;
     const replica = new Replica(client, 'live/', clock);
-    const limits = {
-      ops: 12,
-      batchOps: 12,
-      conditions: 48,
-      bytes: 60_000,
-      valueBytes: 65_536,
-      lastingValueBytes: 65_536,
-    };
+    const limits = anyTxnLimits();
     const committer = new Committer(client, replica, limits, 'live/', clock, new Random(1));
     const put = (key: string, priority: Priority) =>
       committer.commit(key, priority, (draft) => {
@@ -55,14 +49,7 @@
       return Promise.resolve(isRejected ? { kind: 'malformed', why: 'too large' } : { kind: 'done', epoch: 1 });
     };
     const client = { txn } as unknown as StateClient;
-    const limits = {
-      ops: 12,
-      batchOps: 12,
-      conditions: 48,
-      bytes: 60_000,
-      valueBytes: 4096,
-      lastingValueBytes: 2048,
-    };
+    const limits = anyTxnLimits({ valueBytes: 4096, lastingValueBytes: 2048 });
     const committer = new Committer(client, new Replica(client, 'live/', clock), limits, 'live/', clock, new Random(1));
     const rejected: string[] = [];
     committer.onRejected = (name) => rejected.push(name);
@@ -95,7 +82,7 @@
       return { kind: 'done', epoch: 1 };
     };
     const client = { txn } as unknown as StateClient;
-    const limits = { ops: 1, batchOps: 1, conditions: 48, bytes: 60_000, valueBytes: 4096, lastingValueBytes: 4096 };
+    const limits = anyTxnLimits({ ops: 1, batchOps: 1, valueBytes: 4096, lastingValueBytes: 4096 });
     const committer = new Committer(client, new Replica(client, 'live/', clock), limits, 'live/', clock, new Random(1));
     for (const key of ['live/a', 'live/b', 'live/c']) {
       const decide = (draft: Draft): boolean => {
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -12,7 +12,7 @@
 import { Replica } from '../src/state/replica.js';
 import { jsonLength } from '../src/state/sizes.js';
 import { Cluster } from '../src/testing/cluster.js';
-import { jobOf } from '../src/testing/fixtures.js';
+import { anyTxnLimits, jobOf } from '../src/testing/fixtures.js';
 import { FakeClock } from '../src/testing/fake-clock.js';
 
 let cluster: Cluster | undefined;
@@ -167,14 +167,7 @@
       return Promise.resolve({ kind: 'done', epoch: sent.length });
     };
     const client = { txn } as unknown as StateClient;
-    const limits = {
-      ops: 12,
-      batchOps: 12,
-      conditions: 48,
-      bytes: 60_000,
-      valueBytes: 65_536,
-      lastingValueBytes: 65_536,
-    };
+    const limits = anyTxnLimits();
     const committer = new Committer(
       client,
       new Replica(client, 'live/', clock),
@@ -214,14 +207,7 @@
       return clock.sleep(200).then(() => ({ kind: 'done', epoch: writes }));
     };
     const client = { txn } as unknown as StateClient;
-    const limits = {
-      ops: 12,
-      batchOps: 12,
-      conditions: 48,
-      bytes: 60_000,
-      valueBytes: 65_536,
-      lastingValueBytes: 65_536,
-    };
+    const limits = anyTxnLimits();
     const committer = new Committer(client, new Replica(client, 'live/', clock), limits, 'live/', clock, new Random(1));
     for (let n = 0; n < 600; n++) {
       const key = `live/ledger/${n % 30}`;
--- a/test/record-formats.test.ts
+++ b/test/record-formats.test.ts
@@ -106,7 +106,7 @@
     const value = whole(64);
     const key = chunkKey('j-000001', 0);
     let isComplete = false;
-    const resize = recordSizer(2048, (each) => (each === FORMAT_COMPLETE_KEY && isComplete ? {} : undefined));
+    const resize = recordSizer(2048, () => isComplete);
     assert.equal(resize(key, value), value);
     isComplete = true;
     assert.ok(jsonLength(resize(key, value)) <= 2048);
@@ -119,7 +119,7 @@
   it('loses its machine types when the job is called off, and only then', () => {
     const spec = jobOf({ Flavors: Array.from({ length: 60 }, (_, n) => `type-${n}-${'x'.repeat(40)}`) });
     const job = { spec, phase: 'active', at: 0, chunk: 64 } as unknown as JobRecord;
-    const resize = recordSizer(2048, () => undefined);
+    const resize = recordSizer(2048, () => false);
     const key = jobKey('j-000001');
     assert.equal(resize(key, job), job);
     const withdrawn = resize(key, { ...job, phase: 'withdrawn' }) as JobRecord;
--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -7,6 +7,7 @@
 import { Replica } from '../src/state/replica.js';
 import { Cluster } from '../src/testing/cluster.js';
 import { FakeClock } from '../src/testing/fake-clock.js';
+import { anyTxnLimits } from '../src/testing/fixtures.js';
 
 let cluster: Cluster | undefined;
 afterEach(() => {
@@ -190,14 +191,7 @@
     const txn = (): Promise<TxnResult> => Promise.resolve({ kind: 'done', epoch: ++epoch });
     const client = { txn } as unknown as StateClient;
     const replica = new Replica(client, 'live/', clock);
-    const limits = {
-      ops: 12,
-      batchOps: 12,
-      conditions: 48,
-      bytes: 60_000,
-      valueBytes: 65_536,
-      lastingValueBytes: 65_536,
-    };
+    const limits = anyTxnLimits();
     const committer = new Committer(client, replica, limits, 'live/', clock, new Random(1));
     let decided = 0;
     const intents = 1200;
@@ -225,14 +219,7 @@
     };
     const client = { txn } as unknown as StateClient;
     const replica = new Replica(client, 'live/', clock);
-    const limits = {
-      ops: 12,
-      batchOps: 4,
-      conditions: 48,
-      bytes: 60_000,
-      valueBytes: 65_536,
-      lastingValueBytes: 65_536,
-    };
+    const limits = anyTxnLimits({ batchOps: 4 });
     const committer = new Committer(client, replica, limits, 'live/', clock, new Random(1));
     const put = (name: string, keys: number) =>
       committer.commit(name, Priority.start, (draft) => {
