--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['target/', 'node_modules/', 'journal/'] },
+  { ignores: ['**/target/', 'node_modules/', 'journal/'] },
   js.configs.recommended,
   ...tseslint.configs.recommendedTypeChecked,
   {
@@ -14,7 +14,7 @@
   },
   {
     // One step a line, in functions and files that a reader takes in at a time.
-    files: ['src/**', 'test/**'],
+    files: ['src/**', 'test/**', 'packages/**'],
     rules: {
       'no-cond-assign': ['error', 'always'],
       'no-multi-assign': 'error',
@@ -26,12 +26,15 @@
       'max-lines': ['error', 450],
     },
   },
-  { files: ['src/**'], rules: { 'max-lines-per-function': ['error', { max: 80, skipComments: true }] } },
+  {
+    files: ['src/**', 'packages/*/src/**'],
+    rules: { 'max-lines-per-function': ['error', { max: 80, skipComments: true }] },
+  },
   // One list of constants, each with its unit and reason; and one place where all duties of a controller are joined.
   { files: ['src/constants.ts'], rules: { 'max-lines': 'off' } },
   { files: ['src/controller/controller.ts'], rules: { 'max-lines-per-function': 'off' } },
   // Scenarios are told one after the other, a file for each kind of fault.
-  { files: ['test/**'], rules: { 'max-lines': ['error', 500] } },
+  { files: ['test/**', 'packages/*/test/**'], rules: { 'max-lines': ['error', 500] } },
   { files: ['*.js', 'build/*', 'test/**/*.mjs'], ...tseslint.configs.disableTypeChecked },
   {
     files: ['build/*.js', 'test/**/*.mjs'],
@@ -43,5 +46,5 @@
     rules: { '@typescript-eslint/no-require-imports': 'off' },
   },
   // node:test's describe and it return promises that the runner itself awaits.
-  { files: ['test/**'], rules: { '@typescript-eslint/no-floating-promises': 'off' } },
+  { files: ['test/**', 'packages/*/test/**'], rules: { '@typescript-eslint/no-floating-promises': 'off' } },
 );
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -2,7 +2,8 @@
 import { readFileSync } from 'node:fs';
 import * as v from 'valibot';
 import { parse as parseToml } from 'smol-toml';
-import { DEFAULT_TUNING } from '../constants.js';
+import { DEFAULT_STANDBY_SETTINGS, findContradiction, StandbySettingsSchema } from '@dewlatch/standby';
+import { DEFAULT_TUNING, HOLD_TTL_MS, MAX_GOSSIP_BYTES } from '../constants.js';
 import { limitTooSmall } from './least-limits.js';
 
 const text = v.pipe(v.string(), v.minLength(1));
@@ -68,6 +69,7 @@
   check_s: v.optional(positive, DEFAULT_TUNING.check_s),
   moves_per_round: v.optional(v.pipe(v.number(), v.integer(), v.minValue(0)), DEFAULT_TUNING.moves_per_round),
   image_bonus: v.optional(share, DEFAULT_TUNING.image_bonus),
+  standby: v.optional(StandbySettingsSchema, DEFAULT_STANDBY_SETTINGS),
 });
 
 export type Settings = v.InferOutput<typeof SettingsSchema>;
@@ -113,9 +115,12 @@
   } catch (error) {
     throw new SettingsError(`${where}: not TOML: ${(error as Error).message}`);
   }
-  return check(TuningSchema, raw, where);
+  const tuning = check(TuningSchema, raw, where);
+  const fault = findContradiction(tuning.standby, { holdMs: HOLD_TTL_MS, linkMessageBytes: MAX_GOSSIP_BYTES });
+  if (fault !== undefined) throw new SettingsError(`${where}: standby.${fault}`);
+  return tuning;
 }
 
 export const loadSettings = (path: string): Settings => parseSettings(readText(path), path);
 export const loadTuning = (path: string | undefined): Tuning =>
-  path === undefined ? { ...DEFAULT_TUNING } : parseTuning(readText(path), path);
+  path === undefined ? parseTuning('', '(defaults)') : parseTuning(readText(path), path);
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -1,5 +1,6 @@
 import { setMaxListeners } from 'node:events';
 import type { Answer } from '../api/jobs.js';
+import { DEFAULT_STANDBY_SETTINGS } from '@dewlatch/standby';
 import { DEFAULT_TUNING } from '../constants.js';
 import { Controller } from '../controller/controller.js';
 import { decodeMessage, encodeMessage, type Message } from '../mesh/messages.js';
@@ -124,7 +125,8 @@
     const stop = new AbortController();
     setMaxListeners(0, stop.signal);
     const settings = settingsOf(index, this.options.nodes ?? 1, this.options);
-    const tuning = { ...DEFAULT_TUNING, ...this.options.tuning };
+    const standby = { ...DEFAULT_STANDBY_SETTINGS, ...this.options.standby };
+    const tuning = { ...DEFAULT_TUNING, ...this.options.tuning, standby };
     const freezer = new Freezer(this.clock);
     const client = freezer.client(this.network.client(settings.node), stop.signal);
     const version = this.versions.get(index) ?? PRESENT_VERSION;
@@ -152,6 +154,16 @@
     this.network.unserve(`n${index}:8080`);
   }
 
+  /** Tells a node to stop, as an operator's signal does; it ends when it has done so. */
+  async tellToStop(index: number): Promise<void> {
+    this.crash(index);
+  }
+
+  /** Some node that is up. */
+  anyNode(): Controller {
+    return [...this.nodes.values()][0]!.controller;
+  }
+
   /**
    * Ends a node after a while and starts it again at once. What it sends to the store and to workers in that while gets no
    * answer and arrives late, when the new process is up.
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -1,4 +1,5 @@
 /** Settings, jobs and machine types that scenarios start from. */
+import type { StandbySettings } from '@dewlatch/standby';
 import { parseSettings, type Settings, type Tuning } from '../config/settings.js';
 import type { Log } from '../controller/log.js';
 import type { TxnLimits } from '../state/draft.js';
@@ -16,7 +17,9 @@
   nodes?: number;
   teams?: object[];
   cluster?: object;
-  tuning?: Partial<Tuning>;
+  tuning?: Partial<Omit<Tuning, 'standby'>>;
+  /** Settings of the warm standby that differ from the defaults. */
+  standby?: Partial<StandbySettings>;
   flavors?: Record<string, unknown>[];
   /** Rented machines are up after so many ms; without it they never are. */
   bootMs?: number;
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { DEFAULT_STANDBY_SETTINGS } from '@dewlatch/standby';
 import { DEFAULT_TUNING, MAX_PLAN_REST_MS, PLAN_REST_LEAST, WORK_SHARE } from '../src/constants.js';
 import type { Claims } from '../src/controller/claims.js';
 import type { Fleet } from '../src/controller/fleet.js';
@@ -32,7 +33,7 @@
     };
     const fleet = { all, isOpen: () => true };
     const rescheduler = new Rescheduler(
-      DEFAULT_TUNING,
+      { ...DEFAULT_TUNING, standby: DEFAULT_STANDBY_SETTINGS },
       { inTouch: true, ownedPartitions: () => [0], partitionOf: () => 0 } as unknown as Claims,
       { jobs, placesOn: () => [] } as unknown as Book,
       fleet as unknown as Fleet,
