--- a/packages/standby/src/index.ts
+++ b/packages/standby/src/index.ts
@@ -1,2 +1,12 @@
-/** Warm standby of controllers: who succeeds whom, what a successor follows, and when it may act. */
+/** Warm standby of controllers: who succeeds whom, what a successor follows, and when it may act. See docs/standby.md. */
+export * from './advisory-log.js';
+export * from './following-pace.js';
+export * from './outward-calls.js';
+export * from './pause-guard.js';
 export * from './settings.js';
+export * from './stream-follower.js';
+export * from './stream-messages.js';
+export * from './stream-sender.js';
+export * from './succession.js';
+export * from './takeover-barrier.js';
+export * from './takeover-timeline.js';
--- /dev/null
+++ b/packages/standby/src/pause-guard.ts
@@ -0,0 +1,37 @@
+/**
+ * Notices that this process has stood still for longer than a hold lives, after which somebody else may hold its roles. From
+ * then on no claim counts until the store has confirmed the hold by a request that was sent after the pause.
+ */
+export class PauseGuard {
+  private lastSeenAt: number;
+  private pausedUntil = -Infinity;
+  private confirmedAt = -Infinity;
+
+  constructor(
+    /** Steady ms. */
+    private readonly now: () => number,
+    /** ms; a shorter pause can't outlive a hold that was confirmed at its begin. */
+    private readonly longestPauseMs: number,
+  ) {
+    this.lastSeenAt = now();
+  }
+
+  /** To be called often by a timer. Every question looks too, since a resumed process may be asked before its timers fire. */
+  look(): void {
+    const now = this.now();
+    if (now - this.lastSeenAt > this.longestPauseMs) this.pausedUntil = now;
+    this.lastSeenAt = now;
+  }
+
+  /** The store has confirmed the hold; `sentAt`: steady ms when it was asked. */
+  confirm(sentAt: number): void {
+    this.look();
+    this.confirmedAt = Math.max(this.confirmedAt, sentAt);
+  }
+
+  /** No pause since the hold was last confirmed. */
+  get isConfirmed(): boolean {
+    this.look();
+    return this.confirmedAt >= this.pausedUntil;
+  }
+}
--- /dev/null
+++ b/packages/standby/src/stream-follower.ts
@@ -0,0 +1,113 @@
+/** The successor's side of the stream: a view of what one holder knows, whole or not at all. */
+import { keyOf } from './advisory-log.js';
+import type { AdvisoryEntry, AdvisoryKind, FollowRequest, SentEntry, StreamBatch } from './stream-messages.js';
+
+export type BatchOutcome =
+  | { readonly kind: 'applied'; readonly lagMs: number }
+  /** A part of a whole that is not there yet. */
+  | { readonly kind: 'collecting' }
+  /** Known already. */
+  | { readonly kind: 'repeated' }
+  | { readonly kind: 'refused'; readonly reason: 'other_life' | 'gap' | 'too_old' | 'former_holder' };
+
+interface Collected {
+  readonly life: number;
+  readonly after: number;
+  readonly upTo: number;
+  readonly isSnapshot: boolean;
+  readonly parts: number;
+  readonly entries: Map<number, readonly SentEntry[]>;
+  /** Steady ms of the latest arrival. */
+  arrivedAt: number;
+}
+
+export class StreamFollower {
+  private view = new Map<string, AdvisoryEntry>();
+  private followedLife = 0;
+  private upTo = 0;
+  private collected: Collected | undefined;
+  /** Lives of the holder that were followed by a later one. */
+  private readonly formerLives = new Set<number>();
+  /** Steady ms of the last message that was applied. */
+  private appliedAt = -Infinity;
+  private lag = Infinity;
+
+  constructor(
+    private readonly node: string,
+    /** Tells this process from its former lives. */
+    private readonly life: number,
+    private readonly maxLagMs: number,
+    /** Steady ms. */
+    private readonly now: () => number,
+  ) {}
+
+  /** What to ask the holder. */
+  request(): FollowRequest {
+    const { node, life, followedLife, upTo } = this;
+    return { node, life, clock: this.now(), followedLife, upTo };
+  }
+
+  /** Takes in a message of the holder, or refuses it as a whole. */
+  take(batch: StreamBatch): BatchOutcome {
+    const now = this.now();
+    if (batch.echo.life !== this.life) return { kind: 'refused', reason: 'other_life' };
+    const lagMs = now - batch.echo.clock;
+    if (lagMs > this.maxLagMs || lagMs < 0) return { kind: 'refused', reason: 'too_old' };
+    if (this.formerLives.has(batch.life)) return { kind: 'refused', reason: 'former_holder' };
+    if (batch.life === this.followedLife && batch.upTo <= this.upTo) return { kind: 'repeated' };
+    const buildsOn = batch.isSnapshot || (batch.life === this.followedLife && batch.after === this.upTo);
+    if (!buildsOn) return { kind: 'refused', reason: 'gap' };
+    const whole = this.collect(batch, now);
+    if (whole === undefined) return { kind: 'collecting' };
+    this.apply(whole);
+    this.lag = lagMs;
+    this.appliedAt = now;
+    return { kind: 'applied', lagMs };
+  }
+
+  private collect(batch: StreamBatch, now: number): Collected | undefined {
+    const { life, after, upTo, isSnapshot, parts } = batch;
+    const isSame =
+      this.collected?.life === life &&
+      this.collected.upTo === upTo &&
+      this.collected.after === after &&
+      this.collected.isSnapshot === isSnapshot &&
+      this.collected.parts === parts;
+    if (!isSame) this.collected = { life, after, upTo, isSnapshot, parts, entries: new Map(), arrivedAt: now };
+    const collected = this.collected!;
+    collected.entries.set(batch.part, batch.entries);
+    collected.arrivedAt = now;
+    return collected.entries.size === parts ? collected : undefined;
+  }
+
+  private apply(whole: Collected): void {
+    const next = whole.isSnapshot ? new Map<string, AdvisoryEntry>() : this.view;
+    for (const { kind, name, ageMs, healthy, unhealthy, isRemoved } of [...whole.entries.values()].flat()) {
+      if (isRemoved) next.delete(keyOf(kind, name));
+      else next.set(keyOf(kind, name), { kind, name, at: whole.arrivedAt - ageMs, healthy, unhealthy });
+    }
+    if (this.followedLife !== 0 && this.followedLife !== whole.life) this.formerLives.add(this.followedLife);
+    this.view = next;
+    this.followedLife = whole.life;
+    this.upTo = whole.upTo;
+    this.collected = undefined;
+  }
+
+  /** ms between the follower's question and the arrival of the answer that was applied last; Infinity: none was. */
+  get lagMs(): number {
+    return this.lag;
+  }
+
+  /** Steady ms as of which the view is known to hold; -Infinity: there is none. */
+  get knownAt(): number {
+    return this.appliedAt - this.lag;
+  }
+
+  get size(): number {
+    return this.view.size;
+  }
+
+  entries(kind: AdvisoryKind): AdvisoryEntry[] {
+    return [...this.view.values()].filter((entry) => entry.kind === kind);
+  }
+}
--- /dev/null
+++ b/packages/standby/src/takeover-barrier.ts
@@ -0,0 +1,56 @@
+/** What must hold before a controller takes its first decision in a role, and before each one after it. */
+
+export type BarrierReason = 'no_claim' | 'unconfirmed' | 'out_of_touch' | 'records_behind' | 'stream_not_reconciled';
+
+export type BarrierOutcome = { readonly kind: 'open' } | { readonly kind: 'closed'; readonly reason: BarrierReason };
+
+/** One stay of a role with this process: the object itself tells it from others. */
+export interface RoleTenure {
+  /** Revision of the store by which the role came. */
+  readonly stamp: number;
+}
+
+/** What this process knows of a role at this very moment. */
+export interface BarrierEvidence {
+  /** The claim is this process's, under its present hold; undefined: it is not. */
+  readonly tenure: RoleTenure | undefined;
+  /** No pause since the store last confirmed the hold. */
+  readonly isConfirmed: boolean;
+  /** The store has shown the copy of the records complete just now. */
+  readonly isInTouch: boolean;
+  /** Revision up to which the copy is complete. */
+  readonly completeUpTo: number;
+}
+
+export const OPEN: BarrierOutcome = { kind: 'open' };
+
+const closed = (reason: BarrierReason): BarrierOutcome => ({ kind: 'closed', reason });
+
+/**
+ * The barrier of one role. What was followed of the former holder is reconciled with the records once in each tenure, as soon as
+ * the records are complete up to the claim.
+ */
+export class TakeoverBarrier {
+  private reconciled: RoleTenure | undefined;
+
+  constructor(
+    /** Compares what was followed with the records and takes it in. It must not fail, and must not wait. */
+    private readonly reconcile: (tenure: RoleTenure) => void,
+  ) {}
+
+  assess(evidence: BarrierEvidence): BarrierOutcome {
+    const { tenure } = evidence;
+    if (tenure === undefined) return closed('no_claim');
+    if (!evidence.isConfirmed) return closed('unconfirmed');
+    if (!evidence.isInTouch) return closed('out_of_touch');
+    if (evidence.completeUpTo < tenure.stamp) return closed('records_behind');
+    if (this.reconciled !== tenure) return this.reconcileOnce(tenure);
+    return OPEN;
+  }
+
+  private reconcileOnce(tenure: RoleTenure): BarrierOutcome {
+    this.reconciled = tenure;
+    this.reconcile(tenure);
+    return OPEN;
+  }
+}
--- /dev/null
+++ b/packages/standby/test/stream.test.ts
@@ -0,0 +1,216 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import { AdvisoryLog, StreamFollower, StreamSender, batchBytes, type StreamBatch } from '../src/index.js';
+
+const MAX_LAG_MS = 2000;
+const BOUNDS = { bytesPerSecond: 4096, messageBytes: 400, unacknowledgedBytes: 2048, followerTimeoutMs: 5000 };
+const HOSTS = ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6', 'i-7', 'i-8', 'i-9', 'i-10', 'i-11', 'i-12'];
+
+/** A holder, a follower, and links that lose, hold back and repeat. */
+class Stream {
+  time = 10_000;
+  life = 100;
+  log = this.newLog();
+  sender = this.newSender();
+  readonly follower = new StreamFollower('n1', 7, MAX_LAG_MS, () => this.time);
+  readonly onTheWay: StreamBatch[] = [];
+  /** What the holder knew at each of its numbers, by life. */
+  private readonly history = new Map<string, string>();
+
+  private newLog(): AdvisoryLog {
+    return new AdvisoryLog(() => this.time, { entries: 10, removals: 4 });
+  }
+
+  private newSender(): StreamSender {
+    return new StreamSender('n0', this.life, this.log, BOUNDS, () => this.time);
+  }
+
+  restart(): void {
+    this.life++;
+    this.log = this.newLog();
+    this.sender = this.newSender();
+  }
+
+  put(name: string): void {
+    this.log.put({ kind: 'idle', name, at: this.time, healthy: 0, unhealthy: 0 });
+    this.record();
+  }
+
+  keep(names: readonly string[]): void {
+    this.log.replace(
+      'idle',
+      names.map((name) => ({ kind: 'idle', name, at: 5000, healthy: 0, unhealthy: 0 })),
+    );
+    this.record();
+  }
+
+  private record(): void {
+    const names = this.log.since(0).filter(({ entry }) => !entry.isRemoved);
+    this.history.set(`${this.life} ${this.log.sequence}`, namesOf(names.map(({ entry }) => entry)));
+  }
+
+  ask(): void {
+    this.sender.take(this.follower.request());
+    this.compose();
+  }
+
+  compose(): void {
+    for (const batches of this.sender.compose().values()) {
+      for (const batch of batches) assert.ok(batchBytes(batch) <= BOUNDS.messageBytes + 96 + 64);
+      this.onTheWay.push(...batches);
+    }
+  }
+
+  deliverAll(): void {
+    for (const batch of this.onTheWay.splice(0)) this.follower.take(batch);
+  }
+
+  /** The view is what the holder knew at one of its numbers, as a whole. */
+  assertWhole(): void {
+    const { followedLife, upTo } = this.follower.request();
+    const known = this.history.get(`${followedLife} ${upTo}`) ?? '';
+    assert.equal(namesOf(this.follower.entries('idle')), known);
+  }
+}
+
+const namesOf = (entries: readonly { name: string }[]): string =>
+  entries
+    .map(({ name }) => name)
+    .sort()
+    .join();
+
+type Command =
+  | { do: 'put'; host: string }
+  | { do: 'keep'; hosts: string[] }
+  | { do: 'ask' | 'compose' | 'restart' | 'lose' | 'repeat' | 'swap' | 'deliver' }
+  | { do: 'pass'; ms: number };
+
+const command: fc.Arbitrary<Command> = fc.oneof(
+  { weight: 4, arbitrary: fc.record({ do: fc.constant('put' as const), host: fc.constantFrom(...HOSTS) }) },
+  fc.record({ do: fc.constant('keep' as const), hosts: fc.subarray(HOSTS) }),
+  { weight: 3, arbitrary: fc.record({ do: fc.constantFrom('ask' as const, 'deliver' as const, 'compose' as const) }) },
+  fc.record({ do: fc.constantFrom('restart' as const, 'lose' as const, 'repeat' as const, 'swap' as const) }),
+  fc.record({ do: fc.constant('pass' as const), ms: fc.constantFrom(10, 300, 1000, 2500) }),
+);
+
+function carryOut(stream: Stream, each: Command): void {
+  const { onTheWay } = stream;
+  switch (each.do) {
+    case 'put':
+      return stream.put(each.host);
+    case 'keep':
+      return stream.keep(each.hosts);
+    case 'ask':
+      return stream.ask();
+    case 'compose':
+      return stream.compose();
+    case 'restart':
+      return stream.restart();
+    case 'lose':
+      return void onTheWay.shift();
+    case 'repeat':
+      if (onTheWay.length > 0) onTheWay.push(onTheWay[0]!);
+      return;
+    case 'swap':
+      onTheWay.reverse();
+      return;
+    case 'deliver':
+      if (onTheWay.length > 0) stream.follower.take(onTheWay.shift()!);
+      return;
+    case 'pass':
+      stream.time += each.ms;
+  }
+}
+
+describe('the stream between a holder and its follower', () => {
+  it('shows the follower what the holder knew at one moment, whole, whatever the links do; and all of it once they are well', () => {
+    fc.assert(
+      fc.property(fc.array(command, { maxLength: 60 }), (commands) => {
+        const stream = new Stream();
+        for (const each of commands) {
+          carryOut(stream, each);
+          stream.assertWhole();
+        }
+        stream.put('i-last');
+        for (let round = 0; round < 6; round++) {
+          stream.time += 1000;
+          stream.deliverAll();
+          stream.ask();
+          stream.deliverAll();
+          stream.assertWhole();
+        }
+        assert.equal(stream.follower.request().upTo, stream.log.sequence);
+        assert.equal(stream.follower.request().followedLife, stream.life);
+      }),
+      { numRuns: 400 },
+    );
+  });
+
+  it('refuses what a cut has held back, what another process asked for, and what a former holder says', () => {
+    const stream = new Stream();
+    stream.put('i-1');
+    stream.ask();
+    const [late] = stream.onTheWay;
+    stream.time += MAX_LAG_MS + 1;
+    assert.deepEqual(stream.follower.take(late!), { kind: 'refused', reason: 'too_old' });
+    const foreign = { ...late!, echo: { life: 8, clock: stream.time } };
+    assert.deepEqual(stream.follower.take(foreign), { kind: 'refused', reason: 'other_life' });
+    stream.onTheWay.length = 0;
+    stream.ask();
+    stream.ask();
+    stream.ask();
+    stream.deliverAll();
+    assert.equal(stream.follower.size, 1);
+    stream.restart();
+    stream.put('i-2');
+    stream.ask();
+    stream.deliverAll();
+    const former = { ...late!, echo: { life: 7, clock: stream.time } };
+    assert.deepEqual(stream.follower.take(former), { kind: 'refused', reason: 'former_holder' });
+    assert.equal(namesOf(stream.follower.entries('idle')), 'i-2');
+  });
+
+  it('keeps the old view until the last part of a snapshot is there', () => {
+    const stream = new Stream();
+    stream.put('i-1');
+    stream.ask();
+    stream.deliverAll();
+    stream.restart();
+    for (const host of HOSTS.slice(0, 10)) stream.put(host.repeat(20));
+    stream.ask();
+    assert.ok(stream.onTheWay.length > 1);
+    const last = stream.onTheWay.pop()!;
+    stream.deliverAll();
+    assert.equal(namesOf(stream.follower.entries('idle')), 'i-1');
+    stream.follower.take(last);
+    assert.equal(stream.follower.size, 10);
+  });
+
+  it('sends nothing to a follower that does not answer, and no more than its bytes a second', () => {
+    const stream = new Stream();
+    stream.ask();
+    stream.deliverAll();
+    stream.ask();
+    let bytes = 0;
+    for (let ms = 0; ms < 10_000; ms += 100) {
+      stream.time += 100;
+      stream.put(HOSTS[(ms / 100) % HOSTS.length]!);
+      stream.compose();
+      bytes += stream.onTheWay.splice(0).reduce((sum, batch) => sum + batchBytes(batch), 0);
+    }
+    assert.ok(bytes <= BOUNDS.unacknowledgedBytes + BOUNDS.messageBytes, `${bytes} bytes unanswered`);
+    assert.equal(stream.sender.status.followers, 0);
+  });
+
+  it('dates an entry by the arrival, less its age, no younger than the lag', () => {
+    const stream = new Stream();
+    stream.keep(['i-1']);
+    stream.ask();
+    stream.time += 700;
+    stream.deliverAll();
+    const [entry] = stream.follower.entries('idle');
+    assert.equal(entry!.at, 5700);
+    assert.equal(stream.follower.lagMs, 700);
+  });
+});
--- /dev/null
+++ b/packages/standby/test/takeover-barrier.test.ts
@@ -0,0 +1,172 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { FollowingPace, PauseGuard, TakeoverBarrier, guardOf, maySend, type BarrierOutcome } from '../src/index.js';
+
+const HOLD_MS = 3000;
+const FRESH_MS = 2000;
+const TICK_MS = 500;
+const FREEZE_MS = 3500;
+
+/**
+ * A store, a holder A that may stand still, and a successor B. The holder sends to the cloud, which takes whatever comes; the
+ * successor decides on its copy of the records.
+ */
+class Model {
+  private time = 0;
+  private holdUntil = HOLD_MS;
+  private owner: 'A' | 'B' = 'A';
+  private stamp = 5;
+  private copyOfB = 5;
+  private freshOfA = 0;
+  private freshOfB = -Infinity;
+  private readonly tenureOfA = { stamp: 5 };
+  private tenureOfB: { stamp: number } | undefined;
+  private readonly guard: PauseGuard;
+  private readonly barrierOfA = new TakeoverBarrier(() => undefined);
+  private readonly barrierOfB = new TakeoverBarrier(() => this.reconciledAt.push(this.copyOfB));
+  readonly reconciledAt: number[] = [];
+
+  constructor(private readonly hasGuard: boolean) {
+    this.guard = new PauseGuard(() => this.time, HOLD_MS);
+    this.guard.confirm(0);
+  }
+
+  readonly actions: Record<string, () => void> = {
+    pass: () => {
+      this.time += TICK_MS;
+      this.guard.look();
+    },
+    // Nothing of A runs meanwhile; what is asked of it first when it resumes may come before its timers.
+    freeze: () => void (this.time += FREEZE_MS),
+    renew: () => {
+      if (this.time >= this.holdUntil) return;
+      this.holdUntil = this.time + HOLD_MS;
+      this.freshOfA = this.time;
+      this.guard.confirm(this.time);
+    },
+    // A read that was on its way when A froze: it says nothing of the hold, but makes the copy look fresh.
+    lateRead: () => void (this.freshOfA = this.time),
+    claim: () => {
+      if (this.time < this.holdUntil || this.owner === 'B') return;
+      this.owner = 'B';
+      this.stamp += 2;
+      this.tenureOfB = { stamp: this.stamp };
+    },
+    copy: () => {
+      this.copyOfB = this.stamp;
+      this.freshOfB = this.time;
+    },
+  };
+
+  private assessA(): BarrierOutcome {
+    return this.barrierOfA.assess({
+      tenure: this.tenureOfA,
+      isConfirmed: !this.hasGuard || this.guard.isConfirmed,
+      isInTouch: this.time - this.freshOfA < FRESH_MS,
+      completeUpTo: 5,
+    });
+  }
+
+  private assessB(): BarrierOutcome {
+    const isInTouch = this.time - this.freshOfB < FRESH_MS;
+    return this.barrierOfB.assess({
+      tenure: this.tenureOfB,
+      isConfirmed: true,
+      isInTouch,
+      completeUpTo: this.copyOfB,
+    });
+  }
+
+  /** What must never be: the holder sends to the cloud when its claim is gone; the successor decides on an older copy. */
+  violation(): string | undefined {
+    const isSent = maySend('cloud_return', () => this.assessA().kind === 'open');
+    if (isSent && this.owner === 'B') return 'a return of the former holder';
+    const decides = this.assessB().kind === 'open';
+    if (decides && (this.owner !== 'B' || this.copyOfB < this.stamp)) return 'a decision on an older copy';
+    return undefined;
+  }
+}
+
+/** Plays every sequence of so many actions; returns the first that leads to a violation. */
+function explore(depth: number, hasGuard: boolean): string[] | undefined {
+  const names = Object.keys(new Model(hasGuard).actions);
+  const sequences = names.length ** depth;
+  for (let number = 0; number < sequences; number++) {
+    const model = new Model(hasGuard);
+    const played: string[] = [];
+    for (let rest = number, step = 0; step < depth; step++, rest = Math.floor(rest / names.length)) {
+      const name = names[rest % names.length]!;
+      model.actions[name]!();
+      played.push(name);
+      const violation = model.violation();
+      if (violation !== undefined) return [...played, violation];
+    }
+  }
+  return undefined;
+}
+
+describe('the takeover barrier', () => {
+  it('lets no former holder send to the cloud and no successor decide early, in any sequence of seven steps', () => {
+    assert.equal(explore(7, true), undefined);
+  });
+
+  it('is needed: without the check for pauses some sequence breaks it', () => {
+    const found = explore(5, false);
+    assert.ok(found !== undefined);
+    assert.equal(found.at(-1), 'a return of the former holder');
+  });
+
+  it('names what is missing, in order, and reconciles once in each tenure', () => {
+    const reconciled: number[] = [];
+    const barrier = new TakeoverBarrier(({ stamp }) => reconciled.push(stamp));
+    const tenure = { stamp: 9 };
+    const good = { tenure, isConfirmed: true, isInTouch: true, completeUpTo: 9 };
+    const reason = (evidence: typeof good | (Omit<typeof good, 'tenure'> & { tenure: undefined })) => {
+      const outcome = barrier.assess(evidence);
+      return outcome.kind === 'closed' ? outcome.reason : 'open';
+    };
+    assert.equal(reason({ ...good, tenure: undefined }), 'no_claim');
+    assert.equal(reason({ ...good, isConfirmed: false }), 'unconfirmed');
+    assert.equal(reason({ ...good, isInTouch: false }), 'out_of_touch');
+    assert.equal(reason({ ...good, completeUpTo: 8 }), 'records_behind');
+    assert.deepEqual(reconciled, []);
+    assert.equal(reason(good), 'open');
+    assert.equal(reason(good), 'open');
+    assert.deepEqual(reconciled, [9]);
+    assert.equal(reason({ ...good, tenure: { stamp: 9 } }), 'open');
+    assert.deepEqual(reconciled, [9, 9]);
+  });
+});
+
+describe('outward calls', () => {
+  it('that no receiver can refuse are checked when they are sent', () => {
+    assert.equal(guardOf('cloud_return').kind, 'checked_when_sent');
+    assert.equal(guardOf('cloud_rent').kind, 'checked_when_sent');
+    assert.equal(guardOf('command').kind, 'refused_when_late');
+    assert.equal(
+      maySend('cloud_return', () => false),
+      false,
+    );
+    assert.equal(
+      maySend('command', () => false),
+      true,
+    );
+  });
+});
+
+describe('following', () => {
+  it('slows down and rests when timers come late, and comes back step by step', () => {
+    const pace = new FollowingPace();
+    const looks = (count: number, latenessMs: number) => {
+      for (let n = 0; n < count; n++) pace.look(latenessMs);
+      return pace.stage;
+    };
+    assert.equal(looks(2, 900), 'following');
+    assert.equal(looks(1, 900), 'slowed');
+    assert.equal(looks(3, 900), 'resting');
+    assert.equal(pace.mayAsk, false);
+    assert.equal(looks(40, 5), 'slowed');
+    assert.equal(looks(40, 5), 'following');
+    assert.equal(pace.mayAsk, true);
+  });
+});
--- a/src/cloud/client.ts
+++ b/src/cloud/client.ts
@@ -76,6 +76,11 @@
     private readonly address: string,
     rps: number,
     clock: Clock,
+    /**
+     * May the call go out at this very moment? The cloud knows no token: what a leader decided before it stood still must not be
+     * sent after somebody else has become leader.
+     */
+    private readonly maySend: (call: 'cloud_rent' | 'cloud_return') => boolean = () => true,
   ) {
     // Mostly one node, the leader, calls; the rest is left for a new leader and its predecessor.
     this.bucket = new TokenBucket(clock, rps * 0.7, Math.max(1, rps));
@@ -83,6 +88,22 @@
 
   private async call(method: string, path: string, body: unknown, priority: Priority): Promise<Reply | undefined> {
     await this.bucket.take(1, priority);
+    return this.send(method, path, body, priority);
+  }
+
+  /** A call that changes something. It is withheld if it may not go out any more when its turn has come. */
+  private async change(
+    call: 'cloud_rent' | 'cloud_return',
+    path: string,
+    body: unknown,
+    priority: Priority,
+  ): Promise<Reply | 'withheld' | undefined> {
+    await this.bucket.take(1, priority);
+    if (!this.maySend(call)) return 'withheld';
+    return this.send('POST', path, body, priority);
+  }
+
+  private async send(method: string, path: string, body: unknown, priority: Priority): Promise<Reply | undefined> {
     try {
       const reply = await this.http.call(this.address, method, path, body, {
         timeoutMs: CLOUD_TIMEOUT_MS,
@@ -109,7 +130,8 @@
       Reclaimable: hire.reclaimable,
       HowMany: hire.count,
     };
-    const reply = await this.call('POST', '/rentals', body, 2);
+    const reply = await this.change('cloud_rent', '/rentals', body, 2);
+    if (reply === 'withheld') return { kind: 'refused' };
     if (reply === undefined) return { kind: 'unknown' };
     if (reply.status === 200) return { kind: 'rented', hosts: (reply.body as { Hosts?: string[] })?.Hosts ?? [] };
     if (reply.status === 400) return { kind: 'malformed' };
@@ -119,8 +141,9 @@
 
   /** True: the machines and everything on them are gone. */
   async giveBack(hosts: string[]): Promise<boolean> {
-    const reply = await this.call('POST', '/rentals/return', { Hosts: hosts }, 1);
-    return reply?.status === 200;
+    const body = { Hosts: hosts };
+    const reply = await this.change('cloud_return', '/rentals/return', body, 1);
+    return reply !== 'withheld' && reply?.status === 200;
   }
 
   /** The whole list, or undefined. It may be older than one seen before. */
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -420,6 +420,25 @@
 /** ms for which a node does not take a part again that it gave up because workers don't reach it. */
 export const AVOID_MS = 15_000;
 
+/** ms that others leave a vacant role to its designated successor: a look at the claims and one transaction. */
+export const SUCCESSOR_HEAD_START_MS = 400;
+
+/** ms between two looks of the warm standby: it sends what changed, and notices pauses of the process. */
+export const STANDBY_LOOK_MS = 250;
+
+/** ms between two requests of a follower, and ms after which one that asks no more is sent nothing. */
+export const FOLLOW_PERIOD_MS = 1000;
+export const FOLLOWER_TIMEOUT_MS = 5000;
+
+/** ms between two collections of what followers are told of checks and idle machines: as often as workers report at most. */
+export const ADVICE_PERIOD_MS = 1000;
+
+/** ms between two looks at whether the answers to commands have come. */
+export const DRAIN_LOOK_MS = 20;
+
+/** Share of the time for a handover in which the answers to launches that are out are waited for. */
+export const DRAIN_SHARE = 1 / 3;
+
 /** ms that a node waits with taking an orphaned part of another node: prefers that its own node comes. */
 export const ORPHAN_WAIT_MS = 150;
 
--- a/src/controller/claims.ts
+++ b/src/controller/claims.ts
@@ -6,6 +6,7 @@
   CLOCK_DRIFT,
   ORPHAN_WAIT_MS,
   START_GRACE_MS,
+  SUCCESSOR_HEAD_START_MS,
 } from '../constants.js';
 import type { Settings } from '../config/settings.js';
 import type { Book } from '../ledger/book.js';
@@ -20,7 +21,11 @@
 import type { Log } from './log.js';
 
 export const LEADER = 'leader';
-export const partitionRole = (partition: number): string => `part-${partition}`;
+const PARTITION_PREFIX = 'part-';
+export const partitionRole = (partition: number): string => `${PARTITION_PREFIX}${partition}`;
+/** The partition of a role; undefined for the leadership. */
+export const partitionOfRole = (role: string): number | undefined =>
+  role === LEADER ? undefined : Number(role.slice(PARTITION_PREFIX.length));
 
 /** FNV-1a: spreads machines and jobs over partitions, the same in every node. */
 export function hashText(text: string): number {
@@ -61,6 +66,41 @@
   readonly acquisition: Acquisition;
 }
 
+/** What the warm standby says of roles; see standby.ts. */
+export interface Succession {
+  /** Who should claim the vacant role first; undefined: nobody in particular. */
+  successorOf(role: string): string | undefined;
+  /** The process has not stood still since the store last confirmed its hold. */
+  readonly isConfirmed: boolean;
+  /** The store has confirmed the hold; `sentAt`: steady ms when it was asked. */
+  confirm(sentAt: number): void;
+  /** May a decision be taken in a role that is held? */
+  mayDecide(role: string, held: Held): boolean;
+  /** The role is this process's from now on. */
+  claimed(role: string): void;
+}
+
+const NO_SUCCESSION: Succession = {
+  successorOf: () => undefined,
+  isConfirmed: true,
+  confirm: () => undefined,
+  mayDecide: () => true,
+  claimed: () => undefined,
+};
+
+export interface ClaimsDependencies {
+  settings: Settings;
+  client: StateClient;
+  replica: Replica;
+  book: Book;
+  committer: Committer;
+  peers: PeerWord;
+  coverage: { asOf(): number };
+  clock: Clock;
+  random: Random;
+  log: Log;
+}
+
 /** Holds and claims: which partitions this node owns, and whether it may act on them right now. */
 export class Claims {
   private latch: number | undefined;
@@ -71,22 +111,36 @@
   private readonly seenClaimed = new Set<string>();
   private readonly taking = new Set<string>();
   private readonly ceding = new Set<string>();
+  private isLeaving = false;
   private readonly holdOver: number;
   readonly partitionCount: number;
   readonly home: number;
 
-  constructor(
-    private readonly settings: Settings,
-    private readonly client: StateClient,
-    private readonly replica: Replica,
-    private readonly book: Book,
-    private readonly committer: Committer,
-    private readonly peers: PeerWord,
-    private readonly coverage: { asOf(): number },
-    private readonly clock: Clock,
-    private readonly random: Random,
-    private readonly log: Log,
-  ) {
+  /** Who succeeds whom, and what must hold before a decision; without it, as if nothing stood in the way. */
+  succession: Succession = NO_SUCCESSION;
+  private readonly settings: Settings;
+  private readonly client: StateClient;
+  private readonly replica: Replica;
+  private readonly book: Book;
+  private readonly committer: Committer;
+  private readonly peers: PeerWord;
+  private readonly coverage: { asOf(): number };
+  private readonly clock: Clock;
+  private readonly random: Random;
+  private readonly log: Log;
+
+  constructor(dependencies: ClaimsDependencies) {
+    const { settings, client, replica, book, committer, peers, coverage, clock, random, log } = dependencies;
+    this.settings = settings;
+    this.client = client;
+    this.replica = replica;
+    this.book = book;
+    this.committer = committer;
+    this.peers = peers;
+    this.coverage = coverage;
+    this.clock = clock;
+    this.random = random;
+    this.log = log;
     this.partitionCount = settings.cluster.size;
     this.holdOver = holdOverMs(settings.cluster.workers);
     this.home = this.homes().indexOf(settings.node) % this.partitionCount;
@@ -116,7 +170,8 @@
 
   /** The claim on a role, if this very process holds it as far as it knows. */
   holding(role: string): Held | undefined {
-    if (this.ceding.has(role)) return undefined;
+    // After a long pause somebody else may hold it, whatever this copy says.
+    if (this.ceding.has(role) || !this.succession.isConfirmed) return undefined;
     const held = this.held.get(role);
     const claim = this.book.claims.get(role);
     if (held === undefined || claim === undefined) return undefined;
@@ -157,22 +212,42 @@
   }
 
   get isLeader(): boolean {
-    return this.holding(LEADER) !== undefined && this.inTouch;
+    const held = this.holding(LEADER);
+    return held !== undefined && this.inTouch && this.succession.mayDecide(LEADER, held);
   }
 
   /** Makes the claim a condition of a transaction. */
   require(draft: Draft, role: string): boolean {
     const held = this.holding(role);
-    if (held === undefined) return false;
+    if (held === undefined || !this.succession.mayDecide(role, held)) return false;
     draft.get(claimKey(role));
     return draft.conditions.get(claimKey(role)) === held.fence;
   }
 
   avoided(): string[] {
+    if (this.isLeaving) return this.roles();
     const now = this.clock.now();
     return [...this.avoidUntil].filter(([, until]) => until > now).map(([role]) => role);
   }
 
+  /** All roles, the most wanted first. */
+  private roles(): string[] {
+    const others = Array.from({ length: this.partitionCount }, (_, partition) => partition);
+    const rest = others.filter((partition) => partition !== this.home).map(partitionRole);
+    return [partitionRole(this.home), LEADER, ...rest];
+  }
+
+  /** From now on no role is taken, and peers are told so. */
+  leave(): void {
+    this.isLeaving = true;
+  }
+
+  /** Gives all roles up; a role that the store does not take back in time ends with the hold. */
+  async cedeAll(why: string): Promise<void> {
+    const held = this.roles().filter((role) => this.holding(role) !== undefined);
+    await Promise.all(held.map((role) => this.cede(role, why, Infinity)));
+  }
+
   /** A new Stamp for a claim that is held: late commands under the old one are refused from then on. */
   async raise(role: string): Promise<void> {
     const held = this.holding(role);
@@ -225,19 +300,23 @@
       const acquisition = before?.acquisition ?? { stamp: outcome.epoch, at: this.clock.now() };
       this.held.set(role, { fence: outcome.epoch, acquisition });
       this.log.info({ role, fence: outcome.epoch }, before === undefined ? 'role claimed' : 'fence raised');
+      if (before === undefined) this.succession.claimed(role);
       // Nothing is launched before the copy is complete up to the first claim.
       if (before === undefined) void this.replica.refresh();
     }
   }
 
   private async beat(): Promise<void> {
+    let sentAt = this.clock.now();
     const renewed = this.latch === undefined ? false : await this.client.renewHold(this.latch);
     if (!renewed) {
       if (this.latch !== undefined) this.log.info({ hold: this.latch }, 'hold is over');
       this.held.clear();
       this.latch = undefined;
+      sentAt = this.clock.now();
       this.latch = await this.client.createHold(HOLD_TTL_MS);
     }
+    this.succession.confirm(sentAt);
     // The watch of a busy time has told enough.
     const told = this.clock.now() - this.replica.freshAt < HEARTBEAT_MS / 2;
     if (!told && !(await this.replica.refresh())) return;
@@ -247,19 +326,17 @@
   /** ms by which another node's partition is left to that node, should it come for it. */
   private courtesyMs(role: string): number {
     if (role === LEADER) return 0;
-    const home = this.homeOf(Number(role.slice('part-'.length)));
+    const home = this.homeOf(partitionOfRole(role)!);
     if (this.peers.hasStore(home)) return HOLD_TTL_MS / 2;
     return this.seenClaimed.has(role) ? 0 : START_GRACE_MS;
   }
 
   /** Takes the roles that are this node's to take. */
   async settle(): Promise<void> {
-    if (this.latch === undefined || !this.replica.loaded || !this.inTouch) return;
-    const roles = [partitionRole(this.home), LEADER];
-    for (let partition = 0; partition < this.partitionCount; partition++)
-      if (partition !== this.home) roles.push(partitionRole(partition));
+    if (this.latch === undefined || !this.replica.loaded || !this.inTouch || !this.succession.isConfirmed) return;
+    if (this.isLeaving) return;
     const now = this.clock.now();
-    const wanted = roles.filter((role) => {
+    const wanted = this.roles().filter((role) => {
       const claim = this.book.claims.get(role);
       if (claim !== undefined) {
         this.orphanSince.delete(role);
@@ -270,10 +347,13 @@
       }
       if ((this.avoidUntil.get(role) ?? -Infinity) > now) return false;
       if (role === partitionRole(this.home)) return true;
+      const successor = this.succession.successorOf(role);
+      if (successor === this.settings.node) return true;
       const since = this.orphanSince.get(role) ?? now;
       this.orphanSince.set(role, since);
+      const headStart = successor === undefined ? 0 : SUCCESSOR_HEAD_START_MS;
       const load = this.ownedPartitions().length * ORPHAN_WAIT_MS;
-      const wait = load + this.courtesyMs(role) + this.random.float() * ORPHAN_WAIT_MS;
+      const wait = headStart + load + this.courtesyMs(role) + this.random.float() * ORPHAN_WAIT_MS;
       return now - since >= wait;
     });
     await Promise.all(
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -1,7 +1,6 @@
 import { randomInt } from 'node:crypto';
 import {
   BATCH_GATHER_SHARE,
-  GOSSIP_SOON_MS,
   TOKEN_ANNOUNCE_PERIOD_MS,
   HTTP_SERVER_SOCKET_SHARE,
   SWEEP_MS,
@@ -12,8 +11,8 @@
   WATCH_HEARD_PAUSE_MS,
   WATCH_PAUSE_MS,
 } from '../constants.js';
-import { JobLookup } from '../api/job-lookup.js';
-import { Jobs, type Answer } from '../api/jobs.js';
+import { maySend, type TakeoverReport } from '@dewlatch/standby';
+import type { Answer, Jobs } from '../api/jobs.js';
 import { ApiServer } from '../api/server.js';
 import { CloudClient } from '../cloud/client.js';
 import type { Settings, Tuning } from '../config/settings.js';
@@ -41,19 +40,19 @@
 import { Fleet } from './fleet.js';
 import { FormatUpgrade } from './format-upgrade.js';
 import { GossipExchange } from './gossip-exchange.js';
+import { GossipSender } from './gossip-sender.js';
+import { Handover } from './handover.js';
 import { HealthChecks } from './health-checks.js';
-import { JobCompletion } from './job-completion.js';
-import { JobReactions } from './job-reactions.js';
+import { createJobDuties, type JobDuties } from './job-duties.js';
 import { Leader } from './leader.js';
 import type { Log } from './log.js';
 import { Rescheduler } from './rescheduler.js';
 import { Owner } from './owner.js';
-import { PipelineProgress } from './pipeline-progress.js';
 import { every } from './periodic.js';
 import { Planner } from './planner.js';
-import { PredecessorStates } from './predecessor-states.js';
 import { Rebalancer } from './rebalancer.js';
 import { RecordBroadcast } from './record-broadcast.js';
+import { Standby } from './standby.js';
 import { ReportService } from './report-service.js';
 import { TeamSettlement } from './team-settlement.js';
 import { WithdrawalEnforcer } from './withdrawal-enforcer.js';
@@ -77,7 +76,11 @@
   private readonly rescheduler: Rescheduler;
   private readonly happiness: Happiness;
   private readonly random: Random;
-  private gossiping = false;
+  private readonly standby: Standby | undefined;
+  /** Told of each takeover by this node; set by whoever traces them. */
+  onTakeover: (report: TakeoverReport) => void = () => undefined;
+  private readonly gossipSender: GossipSender;
+  private readonly handover: Handover;
   private readonly relays: Relays;
   /** Set by whoever links the controllers: the mesh, or a test. */
   send: (node: string, message: Message) => boolean = () => false;
@@ -85,12 +88,10 @@
   private readonly periodMs: number;
   private readonly sentUpdates: SentMachineUpdates;
   private readonly exchange: GossipExchange;
-  private readonly completion: JobCompletion;
   private readonly rebalancer: Rebalancer;
   private readonly broadcast: RecordBroadcast;
   private readonly reports: ReportService;
-  private readonly pipelineProgress: PipelineProgress;
-  private readonly jobReactions: JobReactions;
+  private readonly jobDuties: JobDuties;
   private readonly formatUpgrade: FormatUpgrade;
   private readonly teamSettlement: TeamSettlement;
 
@@ -118,7 +119,7 @@
     );
     this.replica = new Replica(this.client, LIVE, clock, () => this.watchPauseMs());
     this.book = new Book(this.replica, {
-      job: (ref, shards) => this.jobReactions.jobChanged(ref, shards),
+      job: (ref, shards) => this.jobDuties.reactions.jobChanged(ref, shards),
       urgency: (ref) => this.planner.urgencyChanged(ref),
       claim: () => this.claimChanged(),
       corrupt: (key, error) => log.error({ key, error: String(error) }, 'record can not be read'),
@@ -149,18 +150,18 @@
     this.committer.onRejected = (name, why) => log.error({ change: name, why }, 'the store does not take a change');
     const { valueBytes } = lastingLimits(settings.cluster.state);
     this.committer.resize = recordSizer(valueBytes, () => this.formatUpgrade.isComplete);
-    this.claims = new Claims(
+    this.claims = new Claims({
       settings,
-      this.client,
-      this.replica,
-      this.book,
-      this.committer,
-      this.peers,
-      this.coverage,
+      client: this.client,
+      replica: this.replica,
+      book: this.book,
+      committer: this.committer,
+      peers: this.peers,
+      coverage: this.coverage,
       clock,
-      this.random,
+      random: this.random,
       log,
-    );
+    });
     this.relays = new Relays(settings.node, life, clock, (node, message) => this.send(node, message));
     this.happiness = new Happiness(tuning.window_s * 1000);
     const health = new HealthChecks({ book: this.book, happiness: this.happiness, clock });
@@ -184,6 +185,7 @@
         isLate: (report) => this.fleet.isLate(report),
         knownImages: (host) => this.fleet.known(host)?.images ?? [],
         cacheGb: (flavor) => this.fleet.catalog.get(flavor)?.localGb ?? Infinity,
+        answered: (role) => this.standby?.answered(role),
         checked: (report) => health.reported(report),
         completed: (place, ranS) => {
           const spec = this.book.jobs.get(place.ref)?.record.spec;
@@ -206,7 +208,9 @@
       random: this.random,
       log,
     });
-    const cloud = new CloudClient(http, settings.outside.cloud, settings.cluster.cloud.rps, clock);
+    const cloud = new CloudClient(http, settings.outside.cloud, settings.cluster.cloud.rps, clock, (call) =>
+      this.standby === undefined ? true : maySend(call, () => this.claims.isLeader),
+    );
     this.leader = new Leader({
       settings,
       claims: this.claims,
@@ -220,6 +224,25 @@
       clock,
       log,
     });
+    if (tuning.standby.enabled) {
+      this.standby = new Standby({
+        settings,
+        standby: tuning.standby,
+        life,
+        claims: this.claims,
+        peers: this.peers,
+        book: this.book,
+        replica: this.replica,
+        committer: this.committer,
+        happiness: this.happiness,
+        leader: this.leader,
+        clock,
+        log,
+        send: (node, message) => this.send(node, message),
+        onTakeover: (report) => this.onTakeover(report),
+      });
+      this.claims.succession = this.standby;
+    }
     this.rescheduler = new Rescheduler(
       tuning,
       this.claims,
@@ -232,46 +255,36 @@
       this.random,
       log,
     );
+    this.gossipSender = new GossipSender({
+      peers: peerNodes,
+      clock,
+      compose: (node) => this.gossip(node),
+      send: (node, message) => this.send(node, message),
+    });
     this.reports = new ReportService({
       node: settings.node,
       owner: this.owner,
       relays: this.relays,
       log,
-      onMisdirected: () => this.gossipSoon(),
+      onMisdirected: () => this.gossipSender.soon(),
     });
-    const states = new PredecessorStates({
-      book: this.book,
-      replica: this.replica,
-      committer: this.committer,
+    this.jobDuties = createJobDuties({
+      settings,
       client: this.client,
-    });
-    this.completion = new JobCompletion({
       claims: this.claims,
       book: this.book,
       replica: this.replica,
       committer: this.committer,
-      states,
-      clock,
-      log,
-      maxTransactionWrites: limits.ops,
-    });
-    this.pipelineProgress = new PipelineProgress({
-      claims: this.claims,
-      book: this.book,
-      committer: this.committer,
-      states,
-      clock,
-      log,
-    });
-    this.jobReactions = new JobReactions({
-      claims: this.claims,
-      book: this.book,
       owner: this.owner,
       planner: this.planner,
-      completion: this.completion,
-      pipelineProgress: this.pipelineProgress,
+      fleet: this.fleet,
+      limits,
+      maxTransactionWrites: limits.ops,
       reportPeriodMs: this.periodMs,
+      clock,
+      log,
     });
+    this.jobs = this.jobDuties.jobs;
     this.teamSettlement = new TeamSettlement({
       teams: settings.cluster.teams,
       claims: this.claims,
@@ -307,28 +320,14 @@
       fleet: this.fleet,
       sentUpdates: this.sentUpdates,
       isWithoutStore: () => this.withoutStore,
-      sendSoon: () => this.gossipSoon(),
+      sendSoon: () => this.gossipSender.soon(),
     });
     this.withdrawalEnforcer = new WithdrawalEnforcer(this.claims, this.book, this.fleet, this.peers, http, clock, log);
-    const lookup = new JobLookup({
-      client: this.client,
-      replica: this.replica,
-      book: this.book,
-      committer: this.committer,
-      states,
-      limits,
-      clock,
-      cancelS: settings.cluster.workers.cancel_s,
-    });
-    this.jobs = new Jobs({
-      settings,
-      replica: this.replica,
-      book: this.book,
-      committer: this.committer,
-      lookup,
-      states,
-      limits,
-      fleet: this.fleet,
+    this.handover = new Handover({
+      limitMs: tuning.standby.handover_ms,
+      claims: this.claims,
+      owner: this.owner,
+      gossip: this.gossipSender,
       clock,
       log,
     });
@@ -373,21 +372,29 @@
       this.owner.run(signal),
       this.planner.run(signal),
       this.leader.run(signal),
+      this.standby?.run(signal),
       this.rescheduler.run(signal),
       every(FINISH_PERIOD_MS, periodic, () => this.cleanUp()),
       every(SWEEP_MS, periodic, () => this.rebalancer.rebalance()),
       every(SWEEP_MS, periodic, () => this.withdrawalEnforcer.sweep()),
       every(TOKEN_ANNOUNCE_PERIOD_MS, periodic, () => announcer.announce()),
-      every(PIPELINE_SWEEP_MS, periodic, () => this.pipelineProgress.sweep()),
+      every(PIPELINE_SWEEP_MS, periodic, () => this.jobDuties.pipelineProgress.sweep()),
       every(TEAM_SETTLE_MS, periodic, () => this.teamSettlement.look()),
       every(FORMAT_LOOK_MS, periodic, () => this.formatUpgrade.look()),
     ]);
   }
 
+  /** Hands all roles to the other controllers, if the warm standby is on; else they expire with the hold. */
+  async handOver(): Promise<void> {
+    if (this.standby !== undefined) await this.handover.run();
+  }
+
   /** Healthy: requests are really served here, or nobody could serve them better. */
   up(): Answer {
     const serving =
-      this.replica.loaded && (this.claims.inTouch || (this.withoutStore && this.peers.someWithoutStore()));
+      !this.handover.isUnderway &&
+      this.replica.loaded &&
+      (this.claims.inTouch || (this.withoutStore && this.peers.someWithoutStore()));
     return serving ? { status: 200, body: { up: true } } : { status: 503, body: { up: false } };
   }
 
@@ -400,16 +407,6 @@
     return this.reports.answer(body);
   }
 
-  /** Gossip goes out before its next turn. */
-  private gossipSoon(): void {
-    if (this.gossiping) return;
-    this.gossiping = true;
-    void this.clock.sleep(GOSSIP_SOON_MS).then(() => {
-      this.gossiping = false;
-      for (const { node } of this.settings.peers) this.send(node, { gossip: this.gossip(node) });
-    });
-  }
-
   private watchPauseMs(): number {
     const { peers } = this.settings;
     return this.peers.heard().length < peers.length ? WATCH_PAUSE_MS : WATCH_HEARD_PAUSE_MS;
@@ -427,6 +424,7 @@
     else if ('news' in message) this.broadcast.receive(message.news);
     else if ('ask' in message) this.coverage.answer(message.ask);
     else if ('delta' in message) this.coverage.take(message.delta);
+    else if ('stream' in message) this.standby?.receive(message.stream);
     else this.answerRelayed(message.relay);
   }
 
@@ -436,6 +434,7 @@
   }
 
   private claimChanged(): void {
+    this.standby?.claimsChanged();
     this.planner.poke();
     void this.claims.settle();
   }
@@ -443,7 +442,7 @@
   /** Ends jobs that are over, and forgets what nobody speaks of any more. */
   private cleanUp(): void {
     if (!this.claims.inTouch) return;
-    this.completion.completeAll();
+    this.jobDuties.completion.completeAll();
     this.happiness.prune(this.clock.now());
     this.fleet.prune();
   }
--- a/src/controller/leader.ts
+++ b/src/controller/leader.ts
@@ -48,6 +48,16 @@
   log: Log;
 }
 
+/** What a leader remembers beside the records, and what it takes over of a former one's memory. */
+export interface LeaderMemory {
+  stopping(): Iterable<{ attempt: string; at: number }>;
+  refused(): Iterable<{ offer: string; at: number }>;
+  idle(): Iterable<{ host: string; at: number }>;
+  restoreStopping(attempt: string, at: number): void;
+  restoreRefusal(offer: string, at: number): void;
+  restoreIdle(host: string, at: number): void;
+}
+
 /** What the leader does for the whole cluster: catalogue, renting and returning, drains, preemption. */
 export class Leader {
   private readonly settings: Settings;
@@ -187,6 +197,19 @@
     this.listed = new Map(list.map((machine) => [machine.host, machine]));
   }
 
+  /** What the leader remembers beside the records: for whoever succeeds it. */
+  get memory(): LeaderMemory {
+    return {
+      stopping: () => this.stopper.lately(),
+      refused: () => this.renter.refusedLately(),
+      idle: () => [...this.idleSince].map(([host, at]) => ({ host, at })),
+      restoreStopping: (attempt, at) => this.stopper.restore(attempt, at),
+      restoreRefusal: (offer, at) => this.renter.restoreRefusal(offer, at),
+      // An entry stands only as long as the machine is seen idle: the next look drops it otherwise.
+      restoreIdle: (host, at) => void this.idleSince.set(host, Math.min(at, this.idleSince.get(host) ?? Infinity)),
+    };
+  }
+
   /** Machines that the cloud lists but nobody has heard: for the owners to greet. */
   get listing(): ReadonlyMap<string, ListedMachine> {
     return this.listed;
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -1,4 +1,5 @@
 import {
+  DRAIN_LOOK_MS,
   FORGET_WORKER_LEASES,
   FRESH_MS,
   TOKEN_ANNOUNCE_AGAIN_MS,
@@ -47,6 +48,8 @@
 
 /** What an owner asks of its surroundings, and where it tells of checks and exits. */
 export interface OwnerEvents extends ExitListener {
+  /** A worker of the role's partition is being answered. */
+  answered(role: string): void;
   /** A report was heard: one check of each service task on the machine. */
   checked(report: Report): void;
   /** Has the cloud confirmed that the machine is gone? */
@@ -92,6 +95,7 @@
   /** Steady ms of the next push to each machine. */
   private readonly pushes = new Map<string, number>();
   private announcing = 0;
+  private isDraining = false;
   private readonly tokenAnnouncedAt = new Map<string, number>();
   private readonly raisedAt = new Map<string, number>();
 
@@ -135,6 +139,7 @@
     if (newSession) this.log.info({ machine: report.host, tenure: report.tenure }, 'worker began a new session');
     const desired = this.desiredOn(report.host);
     if (this.mustExpire(worker, report, held, desired, now)) return { status: 503, body: { error: 'no new token' } };
+    this.events.answered(role);
     worker.noteAnswer(report, held.fence, door, reportLateMs(this.settings.cluster.workers), now);
     // A report that crossed a newer answer of `/commands` is no late copy: the worker waits for its answer.
     worker.take(report, now, true);
@@ -266,7 +271,7 @@
     const role = this.roleOf(host);
     const held = this.claims.holding(role);
     const worker = this.workers.get(host);
-    if (held === undefined || worker === undefined || worker.tenure === 0) return;
+    if (held === undefined || worker === undefined || worker.tenure === 0 || this.isDraining) return;
     if (worker.pushing) {
       worker.pushAgain = true;
       return;
@@ -291,6 +296,14 @@
     }
   }
 
+  /** Sends no more commands, and waits for the answers to those that are out, for so long at most. */
+  async drain(withinMs: number): Promise<void> {
+    this.isDraining = true;
+    const until = this.clock.now() + withinMs;
+    const isBusy = () => [...this.workers.values()].some((worker) => worker.pushing);
+    while (isBusy() && this.clock.now() < until) await this.clock.sleep(DRAIN_LOOK_MS);
+  }
+
   private isForCommand(worker: Worker, order: Order, desired: ReadonlyMap<string, Desired>): boolean {
     // A worker that reports by way of another node is behind a cut: commands would only hang, and may arrive late. One that
     // is silent may be dead, or can only answer.
--- a/src/controller/renter.ts
+++ b/src/controller/renter.ts
@@ -50,6 +50,18 @@
     this.mostRecords = lastingLimits(settings.cluster.state).transactionWrites;
   }
 
+  /** Offers that the cloud has lately refused, with the steady ms. */
+  *refusedLately(): Iterable<{ offer: string; at: number }> {
+    for (const [offer, until] of this.noCapacity)
+      if (until > this.clock.now()) yield { offer, at: until - NO_CAPACITY_MS };
+  }
+
+  /** A former leader was refused an offer. */
+  restoreRefusal(offer: string, at: number): void {
+    const until = Math.min(at, this.clock.now()) + NO_CAPACITY_MS;
+    this.noCapacity.set(offer, Math.max(until, this.noCapacity.get(offer) ?? -Infinity));
+  }
+
   /** Changes the records of rentals, one for each, so that none outgrows what the store keeps under a key. */
   private async note(hires: readonly HireRecord[], drop = false): Promise<boolean> {
     const outcome = await this.committer.commit('hires', Priority.start, (draft) => {
--- /dev/null
+++ b/src/controller/standby.ts
@@ -0,0 +1,392 @@
+/**
+ * Wires the warm standby (packages/standby): who succeeds whom, the stream of advisory state, the barrier before decisions, and
+ * the timeline of takeovers. Without `[standby] enabled` nothing of it is made.
+ */
+import {
+  AdvisoryLog,
+  FollowingPace,
+  PauseGuard,
+  StreamFollower,
+  StreamSender,
+  TakeoverBarrier,
+  TakeoverTimeline,
+  designateSuccessor,
+  stepDurations,
+  type AdvisoryKind,
+  type BarrierOutcome,
+  type Candidate,
+  type StandbySettings,
+  type StreamMessage,
+  type TakeoverReport,
+} from '@dewlatch/standby';
+import {
+  ADVICE_PERIOD_MS,
+  FOLLOW_PERIOD_MS,
+  FOLLOWER_TIMEOUT_MS,
+  HOLD_TTL_MS,
+  STANDBY_LOOK_MS,
+  STATUS_PERIOD_MS,
+} from '../constants.js';
+import type { Settings } from '../config/settings.js';
+import type { Book } from '../ledger/book.js';
+import { parseShard, standbyKey, type StandbyRecord } from '../ledger/records.js';
+import type { Peers } from '../mesh/peers.js';
+import type { Clock } from '../net/clock.js';
+import { Priority } from '../net/token-bucket.js';
+import type { Happiness } from '../placement/happiness.js';
+import type { Committer } from '../state/committer.js';
+import type { Replica } from '../state/replica.js';
+import { LEADER, partitionOfRole, partitionRole, type Claims, type Held, type Succession } from './claims.js';
+import type { Leader } from './leader.js';
+import type { Log } from './log.js';
+
+export interface StandbyDependencies {
+  settings: Settings;
+  standby: StandbySettings;
+  /** Tells this process from its former ones, as the gossip says it. */
+  life: number;
+  claims: Claims;
+  peers: Peers;
+  book: Book;
+  replica: Replica;
+  committer: Committer;
+  happiness: Happiness;
+  leader: Leader;
+  clock: Clock;
+  log: Log;
+  send: (node: string, message: { stream: StreamMessage }) => void;
+  /** A takeover by this node is over; for traces. */
+  onTakeover: (report: TakeoverReport) => void;
+}
+
+interface FormerClaim {
+  readonly node: string;
+  readonly stamp: number;
+}
+
+/** Looks of a standby between two of its periodic works. */
+const LOOKS_PER_REQUEST = Math.round(FOLLOW_PERIOD_MS / STANDBY_LOOK_MS);
+const LOOKS_PER_STATUS = Math.round(STATUS_PERIOD_MS / STANDBY_LOOK_MS);
+const LOOKS_PER_COLLECTION = Math.round(ADVICE_PERIOD_MS / STANDBY_LOOK_MS);
+
+export class Standby implements Succession {
+  private readonly guard: PauseGuard;
+  private readonly barriers = new Map<string, TakeoverBarrier>();
+  private readonly outcomes = new Map<string, string>();
+  private readonly advice: AdvisoryLog;
+  private readonly sender: StreamSender;
+  private readonly followers = new Map<string, StreamFollower>();
+  private readonly pace = new FollowingPace();
+  private readonly timeline: TakeoverTimeline;
+  /** Who held each role last, other than this node. */
+  private readonly former = new Map<string, FormerClaim>();
+  /** Roles that the last look at the claims found vacant. */
+  private readonly vacant = new Set<string>();
+  private looks = 0;
+
+  constructor(private readonly dependencies: StandbyDependencies) {
+    const { settings, standby, life, clock, log, onTakeover } = dependencies;
+    const now = () => clock.now();
+    this.guard = new PauseGuard(now, HOLD_TTL_MS);
+    this.advice = new AdvisoryLog(now);
+    const bounds = {
+      bytesPerSecond: standby.stream_bytes_per_s,
+      messageBytes: standby.message_bytes,
+      unacknowledgedBytes: standby.unacknowledged_bytes,
+      followerTimeoutMs: FOLLOWER_TIMEOUT_MS,
+    };
+    this.sender = new StreamSender(settings.node, life, this.advice, bounds, now);
+    this.timeline = new TakeoverTimeline(now, (report) => {
+      const { role, former } = report;
+      log.info({ role, former, ms: stepDurations(report) }, 'takeover');
+      onTakeover(report);
+    });
+  }
+
+  // ---- who succeeds whom
+
+  /** Of a role that nobody is known to have held there is none: after a restart of all each controller comes for its own. */
+  successorOf(role: string): string | undefined {
+    const former = this.former.get(role);
+    return former === undefined ? undefined : this.designate(role, former.node);
+  }
+
+  private designate(role: string, holder: string | undefined): string | undefined {
+    const { claims } = this.dependencies;
+    const partition = partitionOfRole(role);
+    const home = partition === undefined ? undefined : claims.homeOf(partition);
+    return designateSuccessor({ role, holder, home }, this.candidates(role));
+  }
+
+  private candidates(role: string): Candidate[] {
+    const { settings, claims, peers, book } = this.dependencies;
+    const holders = [...book.claims.values()].map(({ record }) => record.node);
+    const rolesOf = (node: string) => holders.filter((holder) => holder === node).length;
+    const own: Candidate = {
+      node: settings.node,
+      zone: settings.location,
+      isServing: claims.inTouch && this.isConfirmed,
+      avoidsRole: claims.avoided().includes(role),
+      roles: rolesOf(settings.node),
+    };
+    const others = settings.peers.map(({ node, location }): Candidate => ({
+      node,
+      zone: location,
+      isServing: peers.hasStore(node),
+      avoidsRole: peers.avoids(node, role),
+      roles: rolesOf(node),
+    }));
+    return [own, ...others];
+  }
+
+  // ---- what must hold before a decision
+
+  get isConfirmed(): boolean {
+    return this.guard.isConfirmed;
+  }
+
+  confirm(sentAt: number): void {
+    this.guard.confirm(sentAt);
+  }
+
+  mayDecide(role: string, held: Held): boolean {
+    const { claims, replica } = this.dependencies;
+    const outcome = this.barrierOf(role).assess({
+      tenure: held.acquisition,
+      isConfirmed: this.isConfirmed,
+      isInTouch: claims.inTouch,
+      completeUpTo: replica.epoch,
+    });
+    this.noteOutcome(role, outcome);
+    if (outcome.kind === 'open') this.timeline.note(role, 'decided');
+    return outcome.kind === 'open';
+  }
+
+  private barrierOf(role: string): TakeoverBarrier {
+    let barrier = this.barriers.get(role);
+    if (barrier === undefined) {
+      barrier = new TakeoverBarrier(() => this.reconcile(role));
+      this.barriers.set(role, barrier);
+    }
+    return barrier;
+  }
+
+  private noteOutcome(role: string, outcome: BarrierOutcome): void {
+    const text = outcome.kind === 'open' ? 'open' : outcome.reason;
+    if (this.outcomes.get(role) === text) return;
+    this.outcomes.set(role, text);
+    this.dependencies.log.info({ role, barrier: text }, 'takeover barrier');
+  }
+
+  claimed(role: string): void {
+    this.timeline.note(role, 'claimed');
+  }
+
+  /** A worker of the partition has been answered. */
+  answered(role: string): void {
+    this.timeline.note(role, 'worker_answered');
+  }
+
+  // ---- claims as they change
+
+  /** To be called whenever a claim has changed. */
+  claimsChanged(): void {
+    const { settings, claims, book, peers } = this.dependencies;
+    const roles = [LEADER, ...Array.from({ length: claims.partitionCount }, (_, n) => partitionRole(n))];
+    for (const role of roles) {
+      const claim = book.claims.get(role);
+      if (claim === undefined) this.noteVacant(role, peers);
+      else {
+        this.vacant.delete(role);
+        if (claim.record.node === settings.node) continue;
+        this.timeline.taken(role);
+        this.former.set(role, { node: claim.record.node, stamp: claim.stamp });
+      }
+    }
+  }
+
+  private noteVacant(role: string, peers: Peers): void {
+    const former = this.former.get(role);
+    if (this.vacant.has(role)) return;
+    this.vacant.add(role);
+    if (former !== undefined) this.timeline.vacant(role, former.node, former.stamp, peers.lastHeardAt(former.node));
+  }
+
+  // ---- the stream
+
+  receive(message: StreamMessage): void {
+    if ('follow' in message) {
+      this.sender.take(message.follow);
+      this.push();
+      return;
+    }
+    const { batch } = message;
+    const outcome = this.followers.get(batch.node)?.take(batch);
+    if (outcome?.kind !== 'refused') return;
+    this.dependencies.log.info({ from: batch.node, reason: outcome.reason }, 'stream message refused');
+    if (outcome.reason === 'gap') this.ask(batch.node);
+  }
+
+  private push(): void {
+    for (const [node, batches] of this.sender.compose())
+      for (const batch of batches) this.dependencies.send(node, { stream: { batch } });
+  }
+
+  /** The nodes that this one should be ready to succeed. */
+  private followed(): Set<string> {
+    const { settings, book } = this.dependencies;
+    const nodes = new Set<string>();
+    for (const [role, { record }] of book.claims) {
+      if (record.node !== settings.node && this.designate(role, record.node) === settings.node) nodes.add(record.node);
+    }
+    return nodes;
+  }
+
+  private askAll(): void {
+    for (const node of this.followed()) {
+      if (!this.followers.has(node)) {
+        const { settings, life, standby, clock } = this.dependencies;
+        this.followers.set(node, new StreamFollower(settings.node, life, standby.max_lag_ms, () => clock.now()));
+      }
+      this.ask(node);
+    }
+  }
+
+  private ask(node: string): void {
+    const follower = this.followers.get(node);
+    if (follower === undefined || !this.canRead(node)) return;
+    this.dependencies.send(node, { stream: { follow: follower.request() } });
+  }
+
+  /** The very process that is heard from the node has said in the store that it reads the stream. */
+  private canRead(node: string): boolean {
+    const { replica, peers } = this.dependencies;
+    const record = replica.get(standbyKey(node)).value as StandbyRecord | undefined;
+    return record !== undefined && record.life === peers.lifeOf(node);
+  }
+
+  /** Says in the store that this process reads the stream. */
+  private async announce(): Promise<void> {
+    const { settings, life, claims, replica, committer } = this.dependencies;
+    const key = standbyKey(settings.node);
+    const isAnnounced = () => (replica.get(key).value as StandbyRecord | undefined)?.latch === claims.hold;
+    if (claims.hold === undefined || !claims.inTouch || isAnnounced()) return;
+    await committer.commit('standby', Priority.hold, (draft) => {
+      if (claims.hold === undefined || isAnnounced()) return false;
+      draft.setUnderHold(key, { life, latch: claims.hold } satisfies StandbyRecord, claims.hold);
+      return true;
+    });
+  }
+
+  // ---- what is told, and what is taken over
+
+  /** What changes at single moments is collected at each look. */
+  private collectEvents(): void {
+    const { claims, happiness, leader } = this.dependencies;
+    const { memory } = leader;
+    const isLeader = claims.isLeader;
+    this.tell(
+      'moved',
+      [...happiness.movedLately()].map(({ task, at }) => ({ name: task, at })),
+    );
+    this.tell('stopping', isLeader ? [...memory.stopping()].map(({ attempt, at }) => ({ name: attempt, at })) : []);
+    this.tell('no_capacity', isLeader ? [...memory.refused()].map(({ offer, at }) => ({ name: offer, at })) : []);
+  }
+
+  /** What is counted over a while is collected more rarely. */
+  private collectCounts(): void {
+    const { claims, happiness, leader, clock } = this.dependencies;
+    const idle = claims.isLeader ? [...leader.memory.idle()] : [];
+    this.tell(
+      'idle',
+      idle.map(({ host, at }) => ({ name: host, at })),
+    );
+    const troubled = [...happiness.troubled(clock.now())];
+    const health = troubled.map(({ task, healthy, unhealthy, lastAt }) => {
+      return { kind: 'health' as const, name: task, at: lastAt, healthy, unhealthy };
+    });
+    this.advice.replace('health', health);
+  }
+
+  private tell(kind: Exclude<AdvisoryKind, 'health'>, moments: readonly { name: string; at: number }[]): void {
+    this.advice.replace(
+      kind,
+      moments.map(({ name, at }) => ({ kind, name, at, healthy: 0, unhealthy: 0 })),
+    );
+  }
+
+  /** Takes in what was followed of the former holder, as far as the records agree. */
+  private reconcile(role: string): void {
+    const { log } = this.dependencies;
+    this.timeline.note(role, 'records_complete');
+    const former = this.former.get(role);
+    const follower = former === undefined ? undefined : this.followers.get(former.node);
+    if (former === undefined || follower === undefined || follower.size === 0) return;
+    const taken = role === LEADER ? this.takeLeaders(follower) : this.takePartitions(role, follower);
+    const knownMs = Math.round(this.dependencies.clock.now() - follower.knownAt);
+    log.info({ role, former: former.node, entries: follower.size, taken, knownMs }, 'standby state taken over');
+  }
+
+  private takeLeaders(follower: StreamFollower): number {
+    const { memory } = this.dependencies.leader;
+    const stopping = follower.entries('stopping');
+    const refused = follower.entries('no_capacity');
+    const idle = follower.entries('idle').filter(({ name }) => this.dependencies.book.countOn(name) === 0);
+    for (const { name, at } of stopping) memory.restoreStopping(name, at);
+    for (const { name, at } of refused) memory.restoreRefusal(name, at);
+    for (const { name, at } of idle) memory.restoreIdle(name, at);
+    return stopping.length + refused.length + idle.length;
+  }
+
+  private takePartitions(role: string, follower: StreamFollower): number {
+    const { happiness } = this.dependencies;
+    const health = follower.entries('health').filter(({ name }) => this.isPlacedIn(role, name));
+    const moved = follower.entries('moved').filter(({ name }) => this.isPlacedIn(role, name));
+    for (const { name, healthy, unhealthy, at } of health) happiness.restore(name, healthy, unhealthy, at);
+    for (const { name, at } of moved) happiness.moved(name, at);
+    return health.length + moved.length;
+  }
+
+  private isPlacedIn(role: string, task: string): boolean {
+    const { book, claims } = this.dependencies;
+    const shard = parseShard(task);
+    const slot = shard === undefined ? undefined : book.jobs.get(shard.ref)?.slot(shard.shard);
+    return slot?.kind === 'placed' && partitionRole(claims.partitionOf(slot.host)) === role;
+  }
+
+  // ---- the routine
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.dependencies;
+    while (!signal.aborted) {
+      const due = clock.now() + STANDBY_LOOK_MS;
+      await clock.sleep(STANDBY_LOOK_MS, signal);
+      if (signal.aborted) return;
+      this.guard.look();
+      const stage = this.pace.look(clock.now() - due);
+      if (stage !== undefined) this.dependencies.log.info({ stage }, 'standby stage');
+      this.look();
+    }
+  }
+
+  private look(): void {
+    this.looks++;
+    this.timeline.sweep();
+    if (this.looks % LOOKS_PER_STATUS === 0) this.dependencies.log.info(this.status, 'standby');
+    if (!this.dependencies.standby.follow) return;
+    void this.announce();
+    this.collectEvents();
+    if (this.looks % LOOKS_PER_COLLECTION === 0) this.collectCounts();
+    if (this.looks % LOOKS_PER_REQUEST === 0 && this.pace.mayAsk) this.askAll();
+    this.push();
+  }
+
+  /** What an operator wants to know of it. */
+  get status(): object {
+    const { followers, snapshots, bytesSent, behind } = this.sender.status;
+    const lags = [...this.followers].map(([node, follower]) => [node, Math.round(follower.lagMs)]);
+    const lagMs = Object.fromEntries(lags.filter(([, lag]) => Number.isFinite(lag))) as Record<string, number>;
+    const entries = this.advice.size;
+    return { stage: this.pace.stage, followed: lagMs, followers, behind, snapshots, bytesSent, entries };
+  }
+}
--- a/src/controller/stopper.ts
+++ b/src/controller/stopper.ts
@@ -21,6 +21,16 @@
     private readonly log: Log,
   ) {}
 
+  /** Attempts that were lately asked to stop, with the steady ms. */
+  *lately(): Iterable<{ attempt: string; at: number }> {
+    for (const [attempt, at] of this.stoppedAt) if (this.clock.now() - at < STOPPING_MS) yield { attempt, at };
+  }
+
+  /** A former leader has asked the attempt to stop. */
+  restore(attempt: string, at: number): void {
+    if (!this.stoppedAt.has(attempt)) this.stoppedAt.set(attempt, at);
+  }
+
   isStopping(place: Place): boolean {
     if (place.slot.stop !== null) return true;
     if (this.stoppedAt.size === 0) return false;
--- a/src/main.ts
+++ b/src/main.ts
@@ -59,10 +59,11 @@
   });
 }
 
-/** Fires when the process is told to end. */
-function stopSignal(): AbortSignal {
+/** Fires when the process has been told to end, and has handed over what it held. */
+function stopSignal(handOver: () => Promise<void>): AbortSignal {
   const stop = new AbortController();
-  for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => stop.abort());
+  const end = () => void handOver().finally(() => stop.abort());
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, end);
   setMaxListeners(0, stop.signal);
   return stop.signal;
 }
@@ -77,7 +78,9 @@
   const log = createLog(settings.node, process.env['LOG_LEVEL']);
   surviveErrors(log);
   const http = new NodeHttpClient(Math.floor(settings.cluster.limits.sockets * HTTP_CLIENT_SOCKET_SHARE));
-  new Controller(settings, tuning, http, systemClock, log).run(stopSignal()).then(
+  const controller = new Controller(settings, tuning, http, systemClock, log);
+  const stop = stopSignal(() => controller.handOver());
+  controller.run(stop).then(
     () => http.close(),
     (error: unknown) => {
       log.error({ error: (error as Error)?.stack ?? String(error) }, 'can not go on');
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../net/clock.js';
 import { Frames, frame } from './frames.js';
 import { decodeMessage, encodeMessage, type Gossip, type Message } from './messages.js';
+import { isStreamMessage } from './stream-codec.js';
 
 /** Links to the other controllers: each node connects to each peer and sends there; answers come by the peer's own link. */
 export class Mesh {
@@ -35,7 +36,7 @@
       socket.on('close', () => sockets.delete(socket));
       socket.on('data', (part) => {
         try {
-          for (const message of frames.push(part)) this.receive(decodeMessage(message));
+          for (const message of frames.push(part)) this.take(message);
         } catch (error) {
           this.log.info({ from: socket.remoteAddress, error: String(error) }, 'peer message does not decode');
           socket.destroy();
@@ -52,6 +53,19 @@
     });
   }
 
+  /** An unreadable message ends the link; one of the standby's stream is passed over, and asked for once more. */
+  private take(bytes: Buffer): void {
+    if (!isStreamMessage(bytes)) return this.receive(decodeMessage(bytes));
+    let message: Message;
+    try {
+      message = decodeMessage(bytes);
+    } catch (error) {
+      this.log.info({ bytes: bytes.length, error: String(error) }, 'stream message does not decode');
+      return;
+    }
+    this.receive(message);
+  }
+
   /** False: there is no link to the node just now. */
   send(node: string, message: Message): boolean {
     const socket = this.links.get(node);
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -1,6 +1,8 @@
 import avro from 'avsc';
+import type { StreamMessage } from '@dewlatch/standby';
 import type { SentChange } from '../state/replica.js';
 import type { MachineState } from '../workers/machine-state.js';
+import { decodeStreamMessage, encodeStreamMessage, isStreamMessage } from './stream-codec.js';
 
 /** What each controller tells the others every second. */
 export interface Gossip {
@@ -194,7 +196,9 @@
   | { relayAnswer: RelayAnswer }
   | { news: News }
   | { ask: Ask }
-  | { delta: Delta };
+  | { delta: Delta }
+  /** Only to peers that have said in the store that they read it. */
+  | { stream: StreamMessage };
 
 /** A record of fields, each with the name of its Avro type or the type itself. */
 const record = (name: string, fields: Record<string, avro.Schema>): avro.Schema => ({
@@ -231,12 +235,15 @@
 /** What goes to several peers is encoded once. */
 export function encodeMessage(message: Message): Buffer {
   let bytes = encoded.get(message);
-  if (bytes === undefined) encoded.set(message, (bytes = envelope.toBuffer(message)));
+  if (bytes !== undefined) return bytes;
+  bytes = 'stream' in message ? encodeStreamMessage(message.stream) : envelope.toBuffer(message);
+  encoded.set(message, bytes);
   return bytes;
 }
 
 /** Throws when the bytes are not a message. */
 export function decodeMessage(bytes: Buffer): Message {
+  if (isStreamMessage(bytes)) return { stream: decodeStreamMessage(bytes) };
   const raw = envelope.fromBuffer(bytes) as {
     gossip: Gossip | null;
     relay: Relay | null;
--- a/src/mesh/peers.ts
+++ b/src/mesh/peers.ts
@@ -49,6 +49,16 @@
     return word !== undefined && this.clock.now() - word.freshAt < FRESH_MS * 2;
   }
 
+  /** The peer's process, told from its former ones; undefined: it is not heard. */
+  lifeOf(node: string): number | undefined {
+    return this.fresh(node)?.gossip.life;
+  }
+
+  /** Steady ms when the peer was last heard. */
+  lastHeardAt(node: string): number {
+    return this.words.get(node)?.heardAt ?? -Infinity;
+  }
+
   /** ms since the peer came up, 0 if it is not heard. */
   upMs(node: string): number {
     return this.fresh(node)?.gossip.upMs ?? 0;
--- a/src/placement/happiness.ts
+++ b/src/placement/happiness.ts
@@ -24,6 +24,29 @@
     return list.filter((check) => check.healthy).length / list.length;
   }
 
+  /** Tasks with unhealthy checks in the window: what a successor could not learn from the next reports. */
+  *troubled(now: number): Iterable<{ task: string; healthy: number; unhealthy: number; lastAt: number }> {
+    for (const [task, list] of this.checks) {
+      const recent = list.filter((check) => check.at >= now - this.windowMs);
+      const healthy = recent.filter((check) => check.healthy).length;
+      const lastAt = recent.at(-1)?.at;
+      if (lastAt !== undefined && healthy < recent.length)
+        yield { task, healthy, unhealthy: recent.length - healthy, lastAt };
+    }
+  }
+
+  /** Takes in what a former holder has counted; the checks all count as made at its last one. */
+  restore(task: string, healthy: number, unhealthy: number, at: number): void {
+    const restored: Check[] = [];
+    for (let n = 0; n < healthy + unhealthy; n++) restored.push({ at, healthy: n < healthy });
+    this.checks.set(task, [...restored, ...(this.checks.get(task) ?? [])]);
+  }
+
+  /** Tasks that were moved within the window. */
+  *movedLately(): Iterable<{ task: string; at: number }> {
+    for (const [task, at] of this.movedAt) yield { task, at };
+  }
+
   moved(task: string, now: number): void {
     this.movedAt.set(task, now);
   }
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -156,7 +156,9 @@
 
   /** Tells a node to stop, as an operator's signal does; it ends when it has done so. */
   async tellToStop(index: number): Promise<void> {
-    this.crash(index);
+    const node = this.nodes.get(`n${index}`);
+    await node?.controller.handOver();
+    if (this.nodes.get(`n${index}`) === node) this.crash(index);
   }
 
   /** Some node that is up. */
