Loopback harness: real processes, killed, frozen and told to stop, with stand-ins over HTTP

Need: simulated time shows neither processes nor sockets; a takeover must be shown on real ones, without duplicated placement. Stand-ins take any clock.

--- a/src/testing/fake-gangs.ts
+++ b/src/testing/fake-gangs.ts
@@ -1,4 +1,4 @@
-import type { FakeClock } from './fake-clock.js';
+import type { Clock } from '../net/clock.js';
 import type { Description, FakeWorker } from './fake-worker.js';
 
 interface Gang {
@@ -14,7 +14,7 @@
   private readonly gangs = new Map<string, Gang>();
 
   constructor(
-    private readonly clock: FakeClock,
+    private readonly clock: Clock,
     readonly waitMs: number,
     private readonly peerMs: number,
   ) {}
--- a/src/testing/fake-store.ts
+++ b/src/testing/fake-store.ts
@@ -1,5 +1,5 @@
 import type { Reply } from '../net/http-client.js';
-import type { FakeClock } from './fake-clock.js';
+import type { Clock } from '../net/clock.js';
 
 /** ms between two looks of an open watch at whether the outage is over. */
 const OUTAGE_STEP_MS = 50;
@@ -47,7 +47,7 @@
   /** Nodes whose every request gets 503 while the others are served; their open watches wait, as in an outage. */
   readonly refused = new Set<string>();
 
-  constructor(private readonly clock: FakeClock) {}
+  constructor(private readonly clock: Clock) {}
 
   /** Full time again for all holds, as after an outage. */
   endOutage(): void {
--- a/src/testing/fake-worker.ts
+++ b/src/testing/fake-worker.ts
@@ -1,5 +1,5 @@
 import type { Reply } from '../net/http-client.js';
-import type { FakeClock } from './fake-clock.js';
+import type { Clock } from '../net/clock.js';
 import type { FakeGangs } from './fake-gangs.js';
 
 /** ms for which a worker waits for an answer to its report, and ms until it then tries the next node. */
@@ -78,7 +78,7 @@
 /** A stand-in of a worker, by the protocol's words; it also keeps account of what ran when. */
 export class FakeWorker {
   readonly tasks = new Map<string, Task>();
-  readonly endpoint: string;
+  endpoint: string;
   readonly history: { shard: string; attempt: number; from: number; to: number | undefined }[] = [];
   tenure = 1;
   tick = 0;
@@ -104,7 +104,7 @@
   private waitsUntil = -Infinity;
 
   constructor(
-    private readonly clock: FakeClock,
+    private readonly clock: Clock,
     readonly options: WorkerOptions,
     private readonly room: Room,
     private readonly around: Surroundings,
--- /dev/null
+++ b/src/testing/loopback-cluster.ts
@@ -0,0 +1,214 @@
+/**
+ * Real controller processes on the loopback, with the stand-ins of store, cloud and workers served over HTTP. Processes are
+ * started by the deploy file's command, and ended, stopped and continued by their ids.
+ */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { parse } from 'smol-toml';
+import { NodeHttpClient, type Reply } from '../net/http-client.js';
+import { setTimeout as delay } from 'node:timers/promises';
+import { systemClock, type Clock } from '../net/clock.js';
+import { FakeCloud } from './fake-cloud.js';
+import { FakeGangs } from './fake-gangs.js';
+import { FakeStore } from './fake-store.js';
+import { ANSWER_MS, FakeWorker, type Description, type Room } from './fake-worker.js';
+import { C8, jobOf, settingsOf } from './fixtures.js';
+import { InvariantChecker } from './invariant-checker.js';
+import { freeAddress, LoopbackServer } from './loopback-server.js';
+
+export interface LoopbackOptions {
+  nodes: number;
+  machines: number;
+  /** The operators' settings, a file. */
+  tuning: string;
+  /** ms that batch tasks run. */
+  runMs: number;
+}
+
+interface Txn {
+  If?: { K: string; Stamp: number }[];
+  Apply?: unknown[];
+}
+
+interface ControllerProcess {
+  address: string;
+  settingsFile: string;
+  process: ChildProcess | undefined;
+}
+
+/** Waits of the stand-ins keep no process alive. */
+const idleClock: Clock = {
+  ...systemClock,
+  sleep: async (ms, signal) => {
+    // Longer waits than a timer takes are for what never comes.
+    const wait = Math.min(ms, LONGEST_WAIT_MS);
+    await delay(wait, undefined, { signal, ref: false }).catch(() => undefined);
+  },
+};
+
+const LONGEST_WAIT_MS = 3_600_000;
+const TICK_MS = 100;
+const EXPIRE_MS = 20;
+const HTTP_SOCKETS = 256;
+
+export class LoopbackCluster {
+  readonly store = new FakeStore(idleClock);
+  readonly cloud = new FakeCloud([C8]);
+  readonly checker = new InvariantChecker({ teams: [{ name: 'red' }], flavors: [C8], cancelS: 36 });
+  /** What the controllers write to standard error. */
+  readonly logLines: string[] = [];
+  /** Called with each transaction that the store has made. */
+  onTxn: (txn: { conditions: ReadonlyMap<string, number>; writes: number }) => void = () => undefined;
+  private readonly folder = mkdtempSync(join(tmpdir(), 'dewlatch-loopback-'));
+  private readonly controllers: ControllerProcess[] = [];
+  private readonly workers: FakeWorker[] = [];
+  private readonly servers: LoopbackServer[] = [];
+  private readonly timers: NodeJS.Timeout[] = [];
+  private readonly http = new NodeHttpClient(HTTP_SOCKETS);
+  private readonly jobs = new Map<string, Description>();
+  private submitted = 0;
+
+  constructor(private readonly options: LoopbackOptions) {}
+
+  async start(): Promise<void> {
+    const storeAddress = await this.serve((method, path, body) => this.handleStore(method, path, body));
+    const cloudAddress = await this.serve((method, path, body) => this.cloud.handle(method, path, body));
+    await this.startWorkers();
+    await this.startControllers(storeAddress, cloudAddress);
+    const names = this.controllers.map((_, index) => `n${index}`);
+    this.timers.push(
+      setInterval(() => this.store.expire(), EXPIRE_MS),
+      setInterval(() => this.report(names), TICK_MS * 5),
+    );
+  }
+
+  private async serve(handler: ConstructorParameters<typeof LoopbackServer>[0]): Promise<string> {
+    const server = new LoopbackServer(handler);
+    this.servers.push(server);
+    return server.listen();
+  }
+
+  private async handleStore(method: string, path: string, body: unknown): Promise<Reply> {
+    const reply = await this.store.handle(method, path, body);
+    if (path === '/txn' && reply.status === 200) {
+      const { If = [], Apply = [] } = body as Txn;
+      this.onTxn({ conditions: new Map(If.map(({ K, Stamp }) => [K, Stamp])), writes: Apply.length });
+    }
+    return reply;
+  }
+
+  private async startWorkers(): Promise<void> {
+    const around = {
+      leaseS: 10,
+      describe: (ref: string) => this.jobs.get(ref),
+      gangs: new FakeGangs(idleClock, 30_000, 4000),
+      results: new Set<string>(),
+    };
+    for (let n = 0; n < this.options.machines; n++) {
+      const host = `i-${String(n).padStart(6, '0')}`;
+      const site = ['a', 'b', 'c'][n % 3]!;
+      const { runMs } = this.options;
+      const worker = new FakeWorker(idleClock, { host, site, runMs }, C8, around);
+      worker.endpoint = await this.serve((method, path, body) => worker.handle(method, path, body));
+      this.watchWorker(worker, host, site);
+      this.workers.push(worker);
+    }
+  }
+
+  private watchWorker(worker: FakeWorker, host: string, site: string): void {
+    const now = () => systemClock.now();
+    this.checker.machineUp(host, { flavor: 'c8', site, reclaimable: false });
+    this.cloud.machines.set(host, { Flavor: 'c8', Site: site, Reclaimable: false, Phase: 'running', HeldS: 100 });
+    worker.onStart = (shard, orderedAt) => this.checker.taskStarted(now(), host, shard, orderedAt);
+    worker.onEnd = (shard, cause) => this.checker.taskEnded(now(), host, shard, cause);
+    worker.onLaunch = (shard, attempt, fence) =>
+      this.checker.placements.launched(now(), { host, shard, attempt, fence });
+  }
+
+  private async startControllers(state: string, cloud: string): Promise<void> {
+    const { nodes } = this.options;
+    const addresses = [];
+    for (let n = 0; n < nodes; n++) addresses.push({ bind: await freeAddress(), mesh: await freeAddress() });
+    for (const [n, { bind, mesh }] of addresses.entries()) {
+      const settings = settingsOf(n, nodes, { teams: [{ name: 'red' }] });
+      const peers = addresses.map((each, index) => ({ node: `n${index}`, location: 'a', address: each.mesh }));
+      const own = { ...settings, bind, mesh_addr: mesh, peers: peers.filter((_, index) => index !== n) };
+      const settingsFile = join(this.folder, `n${n}.json`);
+      writeFileSync(settingsFile, JSON.stringify({ ...own, outside: { cloud, state } }));
+      this.controllers.push({ address: bind, settingsFile, process: undefined });
+      this.startController(n);
+    }
+  }
+
+  /** Starts the controller by the deploy file's command. */
+  startController(index: number): void {
+    const controller = this.controllers[index]!;
+    const deployment = parse(readFileSync('deploy/service.toml', 'utf8')) as { run: string };
+    const [command, ...flags] = deployment.run.replace('deploy/tuning.toml', this.options.tuning).split(' ');
+    const child = spawn(command!, [...flags, controller.settingsFile], { stdio: ['ignore', 'ignore', 'pipe'] });
+    child.stderr.on('data', (part: Buffer) => this.logLines.push(...part.toString('utf8').trim().split('\n')));
+    controller.process = child;
+  }
+
+  /** Sends a signal to the controller's process. */
+  signal(index: number, signal: 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGTERM'): void {
+    this.controllers[index]?.process?.kill(signal);
+  }
+
+  private report(names: readonly string[]): void {
+    for (const worker of this.workers) {
+      void worker.tell([...names], (node, report) =>
+        this.http
+          .call(this.controllers[Number(node.slice(1))]!.address, 'POST', '/hello', report, { timeoutMs: ANSWER_MS })
+          .catch(() => undefined),
+      );
+    }
+  }
+
+  /** A user submits a job to one of the nodes, trying one after the other. */
+  async submit(fields: object): Promise<boolean> {
+    const ref = `j-${String(this.submitted++).padStart(6, '0')}`;
+    const body = jobOf({ Ref: ref, ...fields });
+    this.jobs.set(ref, body as Description);
+    this.checker.submitted(body);
+    for (let turn = 0; turn < this.controllers.length * 2; turn++) {
+      const { address } = this.controllers[(this.submitted + turn) % this.controllers.length]!;
+      const reply = await this.http
+        .call(address, 'POST', '/v1/jobs', body, { timeoutMs: 1000, connectMs: 500 })
+        .catch(() => undefined);
+      if (reply?.status === 201 || reply?.status === 200) return true;
+    }
+    return false;
+  }
+
+  claimOf(role: string): { node: number; stamp: number } | undefined {
+    const row = this.store.rows.get(`live/claim/${role}`);
+    if (row === undefined) return undefined;
+    return { node: Number((row.value as { node: string }).node.slice(1)), stamp: row.stamp };
+  }
+
+  /** Waits for an event, without a fixed time; throws when it has not come about for very long. */
+  async until(condition: () => boolean, what: string, limitMs = 60_000): Promise<void> {
+    const end = systemClock.now() + limitMs;
+    while (!condition()) {
+      if (systemClock.now() > end) throw new Error(`${what}: not within ${limitMs} ms`);
+      await systemClock.sleep(2);
+    }
+  }
+
+  /** Ends all processes and servers; tells which rules were broken. */
+  stop(): string[] {
+    for (const timer of this.timers) clearInterval(timer);
+    for (const controller of this.controllers) {
+      controller.process?.kill('SIGCONT');
+      controller.process?.kill('SIGKILL');
+    }
+    for (const worker of this.workers) worker.die();
+    for (const server of this.servers) server.close();
+    this.http.close();
+    rmSync(this.folder, { recursive: true, force: true });
+    return this.checker.broken.map(({ rule, what }) => `${rule}: ${what}`);
+  }
+}
--- /dev/null
+++ b/src/testing/loopback-server.ts
@@ -0,0 +1,49 @@
+/** Serves a stand-in over HTTP on the loopback, by the same handlers that the in-memory network calls. */
+import { createServer, type IncomingMessage } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { Reply } from '../net/http-client.js';
+
+export type LoopbackHandler = (method: string, path: string, body: unknown) => Promise<Reply> | Reply;
+
+async function readBody(request: IncomingMessage): Promise<unknown> {
+  const parts: Buffer[] = [];
+  for await (const part of request) parts.push(part as Buffer);
+  const text = Buffer.concat(parts).toString('utf8');
+  return text === '' ? undefined : (JSON.parse(text) as unknown);
+}
+
+export class LoopbackServer {
+  private readonly server;
+
+  constructor(handler: LoopbackHandler) {
+    this.server = createServer((request, response) => {
+      void readBody(request)
+        .then((body) => handler(request.method ?? 'GET', request.url ?? '/', body))
+        .then(({ status, body }) => {
+          response.writeHead(status, { 'Content-Type': 'application/json' });
+          response.end(JSON.stringify(body ?? {}));
+        })
+        .catch(() => response.destroy());
+    });
+    this.server.keepAliveTimeout = 60_000;
+  }
+
+  /** Returns the address. */
+  async listen(): Promise<string> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
+
+/** A port of the loopback that nobody listens on at this moment. */
+export async function freeAddress(): Promise<string> {
+  const server = new LoopbackServer(() => ({ status: 404, body: {} }));
+  const address = await server.listen();
+  server.close();
+  return address;
+}
--- /dev/null
+++ b/src/testing/play-loopback.ts
@@ -0,0 +1,40 @@
+/**
+ * Measures takeovers of real processes: `npm run takeovers-loopback -- COUNT [TUNING]`, COUNT kills and as many freezes of the
+ * leader under load. Prints each, then the median, the 95th percentile and the maximum.
+ */
+import { loadavg } from 'node:os';
+import { LoopbackCluster } from './loopback-cluster.js';
+import { loseLeader, submitUntil, type LoopbackLoss, type LoopbackTimes } from './loopback-takeover.js';
+
+const JOB_EVERY_MS = 250;
+const LOSSES: LoopbackLoss[] = ['kill', 'freeze', 'terminate'];
+
+const count = Number(process.argv[2] ?? '30');
+const tuning = process.argv[3] ?? 'deploy/tuning.toml';
+
+function describe(all: readonly number[]): string {
+  const sorted = [...all].sort((a, b) => a - b);
+  const at = (share: number) => Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))]!);
+  return `median ${at(0.5)}, 95th percentile ${at(0.95)}, maximum ${Math.round(sorted.at(-1)!)}`;
+}
+
+const cluster = new LoopbackCluster({ nodes: 3, machines: 12, tuning, runMs: 2000 });
+await cluster.start();
+const load = new AbortController();
+const submitting = submitUntil(cluster, JOB_EVERY_MS, load.signal);
+for (const loss of LOSSES) {
+  const times: LoopbackTimes[] = [];
+  for (let n = 0; n < count; n++) {
+    const each = await loseLeader(cluster, loss);
+    times.push(each);
+    console.log(`${loss} ${n}: claimed ${Math.round(each.claimedMs)} ms, decided ${Math.round(each.decidedMs)} ms`);
+  }
+  console.log(`${tuning} ${loss}, ${count} times, load average ${loadavg()[0]!.toFixed(1)}`);
+  console.log(`  claimed: ${describe(times.map(({ claimedMs }) => claimedMs))}`);
+  console.log(`  decided: ${describe(times.map(({ decidedMs }) => decidedMs))}`);
+}
+load.abort();
+await submitting;
+const broken = cluster.stop();
+console.log(broken.length === 0 ? 'nothing was placed twice, no rule was broken' : broken.join('\n'));
+process.exitCode = broken.length === 0 ? 0 : 1;
