--- a/src/testing/loopback-cluster.ts
+++ b/src/testing/loopback-cluster.ts
@@ -13,7 +13,7 @@
 import { FakeCloud } from './fake-cloud.js';
 import { FakeGangs } from './fake-gangs.js';
 import { FakeStore } from './fake-store.js';
-import { ANSWER_MS, FakeWorker, type Description, type Room } from './fake-worker.js';
+import { ANSWER_MS, FakeWorker, type Description } from './fake-worker.js';
 import { C8, jobOf, settingsOf } from './fixtures.js';
 import { InvariantChecker } from './invariant-checker.js';
 import { freeAddress, LoopbackServer } from './loopback-server.js';
