Takeovers as OpenTelemetry traces, loaded only when asked for

Need: a takeover is to be read as one trace across the two nodes. Change: packages/standby/src/tracing.ts, a bundle of its own (target/tracing.cjs) that trace_file loads; trace and root are named by role and former claim, which both nodes know. Exporter: lines of JSON. Ruled out: carrying the trace context in messages: the former holder is mostly dead.

--- a/build/bundle.js
+++ b/build/bundle.js
@@ -7,6 +7,8 @@
 
 const ENTRY = 'target/main.js';
 const OUTPUT = 'target/dewlatch.cjs';
+const TRACING_ENTRY = 'packages/standby/target/tracing.js';
+const TRACING_OUTPUT = 'target/tracing.cjs';
 
 /** Modules that Node.js 20 can't load, or loads only with a warning, while it builds a snapshot. */
 const LOADED_ON_USE = [
@@ -47,12 +49,7 @@
   },
 };
 
-await build({
-  entryPoints: [ENTRY],
-  outfile: OUTPUT,
-  bundle: true,
-  platform: 'node',
-  format: 'cjs',
-  logLevel: 'warning',
-  plugins: [loadOnUse],
-});
+const bundle = { bundle: true, platform: 'node', format: 'cjs', logLevel: 'warning' };
+await build({ ...bundle, entryPoints: [ENTRY], outfile: OUTPUT, plugins: [loadOnUse] });
+// Loaded at run time, and only where traces are asked for: no part of the snapshot.
+await build({ ...bundle, entryPoints: [TRACING_ENTRY], outfile: TRACING_OUTPUT });
--- a/packages/standby/src/index.ts
+++ b/packages/standby/src/index.ts
@@ -10,3 +10,4 @@
 export * from './succession.js';
 export * from './takeover-barrier.js';
 export * from './takeover-timeline.js';
+export * from './takeover-tracer.js';
--- a/packages/standby/src/pause-guard.ts
+++ b/packages/standby/src/pause-guard.ts
@@ -29,6 +29,11 @@
     this.confirmedAt = Math.max(this.confirmedAt, sentAt);
   }
 
+  /** Steady ms of the sending of the last request by which the store confirmed the hold. */
+  get lastConfirmedAt(): number {
+    return this.confirmedAt;
+  }
+
   /** No pause since the hold was last confirmed. */
   get isConfirmed(): boolean {
     this.look();
--- /dev/null
+++ b/packages/standby/src/takeover-tracer.ts
@@ -0,0 +1,25 @@
+/** Where takeovers are told as traces. The implementation, tracing.ts, is loaded only where tracing is on. */
+import type { TakeoverReport } from './takeover-timeline.js';
+
+/** A role that this process held is somebody else's. */
+export interface RoleLoss {
+  readonly role: string;
+  /** Revision of this process's claim. */
+  readonly stamp: number;
+  /** Steady ms when the store last confirmed the hold, and when the loss was noticed. */
+  readonly confirmedAt: number;
+  readonly noticedAt: number;
+}
+
+export interface TakeoverTracer {
+  /** This process has taken a role over. */
+  takenOver(report: TakeoverReport): void;
+  lost(loss: RoleLoss): void;
+}
+
+export const NO_TRACER: TakeoverTracer = { takenOver: () => undefined, lost: () => undefined };
+
+/** What the module with the implementation exports. */
+export interface TracingModule {
+  createTakeoverTracer: (file: string, node: string, wallOf: (steadyMs: number) => number) => TakeoverTracer;
+}
--- /dev/null
+++ b/packages/standby/src/tracing.ts
@@ -0,0 +1,126 @@
+/**
+ * Takeovers as OpenTelemetry traces, one a takeover across both nodes: the trace is named by the role and the former claim, which
+ * both know, so nothing has to be sent. A module of its own, loaded only where tracing is on.
+ */
+import { createHash } from 'node:crypto';
+import { appendFileSync } from 'node:fs';
+import { ROOT_CONTEXT, TraceFlags, trace, type Context, type HrTime, type Tracer } from '@opentelemetry/api';
+import {
+  BasicTracerProvider,
+  SimpleSpanProcessor,
+  type ReadableSpan,
+  type SpanExporter,
+} from '@opentelemetry/sdk-trace-base';
+import type { TakeoverReport, TakeoverStep } from './takeover-timeline.js';
+import type { RoleLoss, TakeoverTracer } from './takeover-tracer.js';
+
+const TRACE_ID_DIGITS = 32;
+const SPAN_ID_DIGITS = 16;
+/** `ExportResultCode` of the SDK. */
+const SUCCESS = 0;
+const FAILED = 1;
+
+/** Writes each span as one line of JSON. */
+class JsonLinesExporter implements SpanExporter {
+  constructor(
+    private readonly file: string,
+    private readonly node: string,
+  ) {}
+
+  export(spans: ReadableSpan[], done: (result: { code: number; error?: Error }) => void): void {
+    try {
+      appendFileSync(this.file, spans.map((span) => `${JSON.stringify(this.describe(span))}\n`).join(''));
+      done({ code: SUCCESS });
+    } catch (error) {
+      done({ code: FAILED, error: error as Error });
+    }
+  }
+
+  private describe(span: ReadableSpan): object {
+    const { traceId, spanId } = span.spanContext();
+    return {
+      traceId,
+      spanId,
+      parentSpanId: span.parentSpanContext?.spanId,
+      name: span.name,
+      node: this.node,
+      startMs: toMilliseconds(span.startTime),
+      endMs: toMilliseconds(span.endTime),
+      attributes: span.attributes,
+    };
+  }
+
+  shutdown(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+const toMilliseconds = ([seconds, nanoseconds]: HrTime): number => seconds * 1000 + nanoseconds / 1e6;
+
+/** The context under which both nodes put their spans of one takeover. */
+function contextOf(role: string, formerStamp: number): Context {
+  const digest = createHash('sha256').update(`${role} ${formerStamp}`).digest('hex');
+  return trace.setSpanContext(ROOT_CONTEXT, {
+    traceId: digest.slice(0, TRACE_ID_DIGITS),
+    spanId: digest.slice(TRACE_ID_DIGITS, TRACE_ID_DIGITS + SPAN_ID_DIGITS),
+    traceFlags: TraceFlags.SAMPLED,
+    isRemote: true,
+  });
+}
+
+/** From which step to which each span of a takeover goes; the first begins with the last word of the former holder. */
+const SPANS: readonly { name: string; from: TakeoverStep | undefined; to: TakeoverStep }[] = [
+  { name: 'detection', from: undefined, to: 'vacant' },
+  { name: 'claim', from: 'vacant', to: 'claimed' },
+  { name: 'records complete', from: 'claimed', to: 'records_complete' },
+  { name: 'first worker answered', from: 'claimed', to: 'worker_answered' },
+  { name: 'first decision', from: 'claimed', to: 'decided' },
+];
+
+class OpenTelemetryTracer implements TakeoverTracer {
+  private readonly tracer: Tracer;
+
+  constructor(
+    file: string,
+    node: string,
+    /** Time of day, ms, of a moment of the steady clock. */
+    private readonly wallOf: (steadyMs: number) => number,
+  ) {
+    const spanProcessors = [new SimpleSpanProcessor(new JsonLinesExporter(file, node))];
+    this.tracer = new BasicTracerProvider({ spanProcessors }).getTracer('dewlatch.standby');
+  }
+
+  takenOver(report: TakeoverReport): void {
+    const { role, former, formerStamp, steps } = report;
+    const vacantAt = steps.get('vacant')!;
+    const begin = Number.isFinite(report.lastHeardAt) ? report.lastHeardAt : vacantAt;
+    const end = Math.max(...steps.values());
+    const attributes = { role, former, formerStamp };
+    const whole = this.tracer.startSpan(
+      'takeover',
+      { startTime: this.wallOf(begin), attributes },
+      contextOf(role, formerStamp),
+    );
+    const inside = trace.setSpan(ROOT_CONTEXT, whole);
+    for (const { name, from, to } of SPANS) {
+      const startAt = from === undefined ? begin : steps.get(from);
+      const endAt = steps.get(to);
+      if (startAt === undefined || endAt === undefined) continue;
+      this.tracer.startSpan(name, { startTime: this.wallOf(startAt) }, inside).end(this.wallOf(endAt));
+    }
+    whole.end(this.wallOf(end));
+  }
+
+  lost(loss: RoleLoss): void {
+    const { role, stamp, confirmedAt, noticedAt } = loss;
+    const startTime = this.wallOf(confirmedAt);
+    const span = this.tracer.startSpan('role lost', { startTime, attributes: { role } }, contextOf(role, stamp));
+    span.end(this.wallOf(noticedAt));
+  }
+}
+
+export const createTakeoverTracer = (
+  file: string,
+  node: string,
+  wallOf: (steadyMs: number) => number,
+): TakeoverTracer => new OpenTelemetryTracer(file, node, wallOf);
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -11,7 +11,7 @@
   WATCH_HEARD_PAUSE_MS,
   WATCH_PAUSE_MS,
 } from '../constants.js';
-import { maySend, type TakeoverReport } from '@dewlatch/standby';
+import { maySend } from '@dewlatch/standby';
 import type { Answer, Jobs } from '../api/jobs.js';
 import { ApiServer } from '../api/server.js';
 import { CloudClient } from '../cloud/client.js';
@@ -45,6 +45,7 @@
 import { HealthChecks } from './health-checks.js';
 import { createJobDuties, type JobDuties } from './job-duties.js';
 import { Leader } from './leader.js';
+import { loadTracer } from './load-tracer.js';
 import type { Log } from './log.js';
 import { Rescheduler } from './rescheduler.js';
 import { Owner } from './owner.js';
@@ -77,8 +78,6 @@
   readonly happiness: Happiness;
   private readonly random: Random;
   private readonly standby: Standby | undefined;
-  /** Told of each takeover by this node; set by whoever traces them. */
-  onTakeover: (report: TakeoverReport) => void = () => undefined;
   private readonly gossipSender: GossipSender;
   private readonly handover: Handover;
   private readonly relays: Relays;
@@ -239,7 +238,7 @@
         clock,
         log,
         send: (node, message) => this.send(node, message),
-        onTakeover: (report) => this.onTakeover(report),
+        tracer: loadTracer(tuning.standby.trace_file, settings.node, clock, log),
       });
       this.claims.succession = this.standby;
     }
--- a/src/controller/standby.ts
+++ b/src/controller/standby.ts
@@ -17,7 +17,7 @@
   type Candidate,
   type StandbySettings,
   type StreamMessage,
-  type TakeoverReport,
+  type TakeoverTracer,
 } from '@dewlatch/standby';
 import {
   ADVICE_PERIOD_MS,
@@ -55,8 +55,7 @@
   clock: Clock;
   log: Log;
   send: (node: string, message: { stream: StreamMessage }) => void;
-  /** A takeover by this node is over; for traces. */
-  onTakeover: (report: TakeoverReport) => void;
+  tracer: TakeoverTracer;
 }
 
 interface FormerClaim {
@@ -80,12 +79,14 @@
   private readonly timeline: TakeoverTimeline;
   /** Who held each role last, other than this node. */
   private readonly former = new Map<string, FormerClaim>();
+  /** Claims of this node as the last look found them, by role. */
+  private readonly own = new Map<string, number>();
   /** Roles that the last look at the claims found vacant. */
   private readonly vacant = new Set<string>();
   private looks = 0;
 
   constructor(private readonly dependencies: StandbyDependencies) {
-    const { settings, standby, life, clock, log, onTakeover } = dependencies;
+    const { settings, standby, life, clock, log, tracer } = dependencies;
     const now = () => clock.now();
     this.guard = new PauseGuard(now, HOLD_TTL_MS);
     this.advice = new AdvisoryLog(now);
@@ -99,7 +100,7 @@
     this.timeline = new TakeoverTimeline(now, (report) => {
       const { role, former } = report;
       log.info({ role, former, ms: stepDurations(report) }, 'takeover');
-      onTakeover(report);
+      tracer.takenOver(report);
     });
   }
 
@@ -212,13 +213,25 @@
       if (claim === undefined) this.noteVacant(role, peers);
       else {
         this.vacant.delete(role);
-        if (claim.record.node === settings.node) continue;
+        if (claim.record.node === settings.node) {
+          this.own.set(role, claim.stamp);
+          continue;
+        }
+        this.noteLoss(role);
         this.timeline.taken(role);
         this.former.set(role, { node: claim.record.node, stamp: claim.stamp });
       }
     }
   }
 
+  private noteLoss(role: string): void {
+    const stamp = this.own.get(role);
+    if (stamp === undefined) return;
+    this.own.delete(role);
+    const { tracer, clock } = this.dependencies;
+    tracer.lost({ role, stamp, confirmedAt: this.guard.lastConfirmedAt, noticedAt: clock.now() });
+  }
+
   private noteVacant(role: string, peers: Peers): void {
     const former = this.former.get(role);
     if (this.vacant.has(role)) return;
--- a/test/standby.test.ts
+++ b/test/standby.test.ts
@@ -244,6 +244,11 @@
     const running = NODES.map((n) => cluster.runs(`j-svc/${n}`).length);
     const toldAt = cluster.clock.now();
     const stopped = cluster.tellToStop(leader);
+    await cluster.advance(5);
+    // Also of roles that it does not hold: it is nobody's successor any more.
+    const other = others(leader).at(0)!;
+    const named = NODES.map((node) => cluster.node(other).claims.succession.successorOf(`part-${node}`));
+    assert.ok(!named.includes(`n${leader}`));
     const roles = ['leader', `part-${leader}`];
     await cluster.until(() => roles.every((role) => claimOf(role) !== undefined && holderOf(role) !== leader), 1500);
     assert.ok(since(toldAt) < 500, `${since(toldAt)} ms`);
