Tests of traces, of settings that contradict, and of cloud calls that wait for their turn

Need: the check of cloud calls was seen by no test that compiles without it. Change: tests only. Measured: nothing.

--- /dev/null
+++ b/packages/standby/test/tracing.test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import { mkdtempSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { describe, it } from 'node:test';
+import { TakeoverTimeline, stepDurations, type TakeoverReport } from '../src/index.js';
+import { createTakeoverTracer } from '../src/tracing.js';
+
+interface SpanLine {
+  traceId: string;
+  spanId: string;
+  parentSpanId: string;
+  name: string;
+  node: string;
+  startMs: number;
+  endMs: number;
+}
+
+/** A takeover of the leadership that was vacant 3 s after the last word of its holder, step by step. */
+function takeOver(): TakeoverReport {
+  let time = 10_000;
+  const reports: TakeoverReport[] = [];
+  const timeline = new TakeoverTimeline(
+    () => time,
+    (report) => reports.push(report),
+  );
+  timeline.note('leader', 'decided');
+  timeline.vacant('leader', 'n0', 41, 7000);
+  timeline.note('leader', 'decided');
+  for (const step of ['claimed', 'records_complete', 'decided'] as const) {
+    time += 20;
+    timeline.note('leader', step);
+    timeline.note('leader', step);
+  }
+  assert.equal(reports.length, 1);
+  return reports[0]!;
+}
+
+describe('the timeline of a takeover', () => {
+  it('counts from the last word of the former holder, and only what follows the claim', () => {
+    const expected = { vacant: 3000, claimed: 3020, records_complete: 3040, decided: 3060 };
+    assert.deepEqual(stepDurations(takeOver()), expected);
+  });
+
+  it('reports nothing of a role that another has taken', () => {
+    let time = 0;
+    let reports = 0;
+    const timeline = new TakeoverTimeline(
+      () => time,
+      () => reports++,
+    );
+    timeline.vacant('leader', 'n0', 41, 0);
+    timeline.taken('leader');
+    time += 60_000;
+    timeline.sweep();
+    assert.equal(reports, 0);
+  });
+});
+
+describe('the trace of a takeover', () => {
+  it('is one at both nodes, with a span for each step', () => {
+    const folder = mkdtempSync(join(tmpdir(), 'dewlatch-trace-'));
+    const file = join(folder, 'spans.jsonl');
+    const wallOf = (steadyMs: number) => 1_700_000_000_000 + steadyMs;
+    createTakeoverTracer(file, 'n1', wallOf).takenOver(takeOver());
+    const loss = { role: 'leader', stamp: 41, confirmedAt: 7000, noticedAt: 12_000 };
+    createTakeoverTracer(file, 'n0', wallOf).lost(loss);
+    const lines = readFileSync(file, 'utf8').trim().split('\n');
+    rmSync(folder, { recursive: true });
+    const spans = lines.map((line) => JSON.parse(line) as SpanLine);
+    assert.equal(new Set(spans.map(({ traceId }) => traceId)).size, 1);
+    assert.deepEqual(spans.map(({ node, name }) => `${node} ${name}`).sort(), [
+      'n0 role lost',
+      'n1 claim',
+      'n1 detection',
+      'n1 first decision',
+      'n1 records complete',
+      'n1 takeover',
+    ]);
+    const whole = spans.find(({ name }) => name === 'takeover')!;
+    assert.equal(whole.endMs - whole.startMs, 3060);
+    const inside = spans.filter(({ parentSpanId }) => parentSpanId === whole.spanId);
+    assert.equal(inside.length, 4);
+    assert.equal(spans.find(({ node }) => node === 'n0')!.parentSpanId, whole.parentSpanId);
+  });
+});
--- a/test/client.test.ts
+++ b/test/client.test.ts
@@ -66,6 +66,27 @@
     assert.equal((await rent(new NoAnswer('timeout', true))).kind, 'unknown');
   });
 
+  it('are not asked for by a leader that has lost its claim while the call waited for its turn', async () => {
+    const clock = new FakeClock();
+    let isLeader = true;
+    let sent = 0;
+    const http = {
+      call: async (): Promise<Reply> => {
+        sent++;
+        return { status: 200, body: { Hosts: ['i-1'] } };
+      },
+    };
+    const cloud = new CloudClient(http, 'x:1', 1, clock, () => isLeader);
+    assert.equal(await cloud.giveBack(['i-1']), true);
+    const waiting = [cloud.giveBack(['i-2']), cloud.rent(hire)] as const;
+    await clock.advance(1);
+    isLeader = false;
+    await clock.advance(60_000);
+    assert.equal(await waiting[0], false);
+    assert.deepEqual(await waiting[1], { kind: 'refused' });
+    assert.equal(sent, 1);
+  });
+
   it('to commands say whether these may still be executed', async () => {
     const send = (reply: Reply | NoAnswer) => sendCommands(answering(reply), 'x:1', 1, 1, []);
     assert.equal((await send({ status: 200, body: {} })).kind, 'done');
@@ -85,6 +106,12 @@
     assert.throws(() => parseTuning('threshold = 2', 'f.toml'), /threshold/);
     assert.throws(() => parseTuning('treshold = 0.9', 'f.toml'), /treshold/);
     assert.equal(parseTuning('threshold = 0.8', 'f.toml').threshold, 0.8);
+    const standby = (line: string) => () => parseTuning(`[standby]\n${line}`, 'f.toml');
+    assert.throws(standby('folow = true'), /f\.toml: standby\.folow/);
+    assert.throws(standby('max_lag_ms = "2 s"'), /f\.toml: standby\.max_lag_ms/);
+    assert.throws(standby('follow = true'), /f\.toml: standby\.follow: needs enabled/);
+    assert.throws(standby('max_lag_ms = 3001'), /f\.toml: standby\.max_lag_ms: must not exceed the life of a hold/);
+    assert.equal(standby('enabled = true')().standby.enabled, true);
   });
 
   it('with a limit too small to run with are refused with the name of the field and what is needed', () => {
