--- a/src/testing/play-large.ts
+++ b/src/testing/play-large.ts
@@ -1,5 +1,5 @@
 /**
- * Plays a large cluster: `npm run large -- 4000` machines with three controllers that all end at once, of which then one is left alone,
+ * Plays a large cluster: `npm run large -- 4000 [standby]` machines, with the warm standby on if asked for, with three controllers that all end at once, of which then one is left alone,
  * and prints what each controller knows. Ends with the rules that were broken, if any.
  */
 import { Cluster } from './cluster.js';
@@ -10,7 +10,8 @@
 const SHARDS_OF_A_JOB = 500;
 
 const machines = Number(process.argv[2] ?? '4000');
-const cluster = new Cluster({ nodes: NODES.length, teams: [{ name: 'red', cpus_max: 100_000 }] });
+const standby = process.argv[3] === 'standby' ? { enabled: true, follow: true } : {};
+const cluster = new Cluster({ nodes: NODES.length, teams: [{ name: 'red', cpus_max: 100_000 }], standby });
 for (let n = 0; n < machines; n++) {
   cluster.addWorker({ host: `i-${String(n).padStart(6, '0')}`, site: SITES[n % 3]!, runMs: 30_000 });
 }
@@ -29,6 +30,16 @@
   await cluster.submit({ Ref: `j-${n}`, Shards: SHARDS_OF_A_JOB, Cpus: 4 }, n % NODES.length);
 }
 await cluster.advance(10_000);
+const leader = cluster.leader()!;
+const lostAt = cluster.clock.now();
+cluster.crash(leader);
+const claim = () => (cluster.store.rows.get('live/claim/leader')?.value as { node: string } | undefined)?.node;
+await cluster.until(() => claim() !== undefined && claim() !== `n${leader}`, 10_000);
+show(`the leader has ended, and is succeeded after ${cluster.clock.now() - lostAt} ms`);
+await cluster.advance(8000);
+show('8 s later');
+cluster.start(leader);
+await cluster.advance(10_000);
 for (const node of NODES) cluster.crash(node);
 await cluster.advance(1000);
 for (const node of NODES) cluster.start(node);
