A controller that is told to stop ends only when its peers have been told of its roles

Need: under load the successor claimed only 210 ms after a planned handover: the process ended before the changed claims had been told to its peers, so they learned by their next watch. Ruled out: telling peers of every dropped claim at once, which changes handovers with the switch off.

--- a/src/controller/handover.ts
+++ b/src/controller/handover.ts
@@ -1,5 +1,5 @@
 /** A planned handover: a controller that is told to stop gives its roles to its successors instead of letting them expire. */
-import { DRAIN_SHARE } from '../constants.js';
+import { DRAIN_SHARE, NEWS_GATHER_MS } from '../constants.js';
 import type { Clock } from '../net/clock.js';
 import type { Claims } from './claims.js';
 import type { GossipSender } from './gossip-sender.js';
@@ -28,12 +28,19 @@
 
   /** Resolves when all roles are given up, or when the time is over. */
   async run(): Promise<void> {
-    const { limitMs, claims, owner, gossip, clock, log } = this.dependencies;
+    const { limitMs, claims, gossip, clock, log } = this.dependencies;
     this.hasBegun = true;
     claims.leave();
     gossip.now();
-    const givenUp = owner.drain(limitMs * DRAIN_SHARE).then(() => claims.cedeAll('told to stop'));
-    await Promise.race([clock.sleep(limitMs), givenUp]);
+    await Promise.race([clock.sleep(limitMs), this.giveUp()]);
     log.info({ left: claims.ownedPartitions().length }, 'handover is over');
   }
+
+  private async giveUp(): Promise<void> {
+    const { limitMs, claims, owner, clock } = this.dependencies;
+    await owner.drain(limitMs * DRAIN_SHARE);
+    await claims.cedeAll('told to stop');
+    // Peers are told of changed records a moment later; without that they learn of the vacant roles by their next watch.
+    await clock.sleep(2 * NEWS_GATHER_MS);
+  }
 }
--- a/test/standby.test.ts
+++ b/test/standby.test.ts
@@ -251,7 +251,7 @@
     assert.ok(!named.includes(`n${leader}`));
     const roles = ['leader', `part-${leader}`];
     await cluster.until(() => roles.every((role) => claimOf(role) !== undefined && holderOf(role) !== leader), 1500);
-    assert.ok(since(toldAt) < 500, `${since(toldAt)} ms`);
+    assert.ok(since(toldAt) < 100, `${since(toldAt)} ms`);
     await cluster.advance(4000);
     await stopped;
     assert.ok(!cluster.has(leader));
