The pause guard reads the clock only for what is about to be sent

Need: with the standby on, every look at a claim read the clock, thousands of times a second on a busy node. Change: Claims.holdingNow (answers, decisions, commands) looks at the clock; Claims.holding uses the last look. Tests unchanged.

--- a/packages/standby/src/pause-guard.ts
+++ b/packages/standby/src/pause-guard.ts
@@ -34,9 +34,14 @@
     return this.confirmedAt;
   }
 
-  /** No pause since the hold was last confirmed. */
+  /** No pause since the hold was last confirmed, as of this very moment. */
   get isConfirmed(): boolean {
     this.look();
+    return this.wasConfirmed;
+  }
+
+  /** The same as of the last look: reads no clock, for what is asked thousands of times a second and sends nothing. */
+  get wasConfirmed(): boolean {
     return this.confirmedAt >= this.pausedUntil;
   }
 }
--- a/src/controller/claims.ts
+++ b/src/controller/claims.ts
@@ -70,8 +70,9 @@
 export interface Succession {
   /** Who should claim the vacant role first; undefined: nobody in particular. */
   successorOf(role: string): string | undefined;
-  /** The process has not stood still since the store last confirmed its hold. */
+  /** The process has not stood still since the store last confirmed its hold: now, and as of the last look, which costs less. */
   readonly isConfirmed: boolean;
+  readonly wasConfirmed: boolean;
   /** The store has confirmed the hold; `sentAt`: steady ms when it was asked. */
   confirm(sentAt: number): void;
   /** Does all hold that must before a decision in a role that is held? */
@@ -85,6 +86,7 @@
 const NO_SUCCESSION: Succession = {
   successorOf: () => undefined,
   isConfirmed: true,
+  wasConfirmed: true,
   confirm: () => undefined,
   isReady: () => true,
   mayDecide: () => true,
@@ -174,13 +176,18 @@
   /** The claim on a role, if this very process holds it as far as it knows. */
   holding(role: string): Held | undefined {
     // After a long pause somebody else may hold it, whatever this copy says.
-    if (this.ceding.has(role) || !this.succession.isConfirmed) return undefined;
+    if (this.ceding.has(role) || !this.succession.wasConfirmed) return undefined;
     const held = this.held.get(role);
     const claim = this.book.claims.get(role);
     if (held === undefined || claim === undefined) return undefined;
     return claim.record.latch === this.latch && claim.stamp === held.fence ? held : undefined;
   }
 
+  /** The same, for whoever is about to send something: also after a pause that no timer has noticed yet. */
+  holdingNow(role: string): Held | undefined {
+    return this.succession.isConfirmed ? this.holding(role) : undefined;
+  }
+
   /**
    * The acquisition of a role that this process has not seen lost. Unlike `holding`, it goes on while a raised token is known
    * from the watch before the answer to the raise has come, and while a handover waits: in such spells nobody may answer or
@@ -199,7 +206,7 @@
 
   /** May this node answer for the part's workers, and so keep their leases alive? */
   mayAnswer(role: string): Held | undefined {
-    const held = this.holding(role);
+    const held = this.holdingNow(role);
     if (held === undefined) return undefined;
     if (this.inTouch) return held;
     // Whoever has the store will take over: workers that are turned away are with it the sooner.
@@ -215,13 +222,13 @@
   }
 
   get isLeader(): boolean {
-    const held = this.holding(LEADER);
+    const held = this.holdingNow(LEADER);
     return held !== undefined && this.inTouch && this.succession.isReady(LEADER, held);
   }
 
   /** Makes the claim a condition of a transaction. */
   require(draft: Draft, role: string): boolean {
-    const held = this.holding(role);
+    const held = this.holdingNow(role);
     if (held === undefined || !this.succession.mayDecide(role, held)) return false;
     draft.get(claimKey(role));
     return draft.conditions.get(claimKey(role)) === held.fence;
--- a/src/controller/owner.ts
+++ b/src/controller/owner.ts
@@ -269,7 +269,7 @@
 
   private async pushNow(host: string): Promise<void> {
     const role = this.roleOf(host);
-    const held = this.claims.holding(role);
+    const held = this.claims.holdingNow(role);
     const worker = this.workers.get(host);
     if (held === undefined || worker === undefined || worker.tenure === 0 || this.isDraining) return;
     if (worker.pushing) {
@@ -384,7 +384,7 @@
 
   /** Pushes the fence to workers that have not been heard since the takeover, so that old commands are refused. */
   async announceToken(host: string, endpoint: string, tenure: number): Promise<void> {
-    const held = this.claims.holding(this.roleOf(host));
+    const held = this.claims.holdingNow(this.roleOf(host));
     if (held === undefined || this.workers.has(host)) return;
     // The next look comes soon, and most workers report before their turn.
     // Those that don't answer must not keep the others from theirs.
--- a/src/controller/standby.ts
+++ b/src/controller/standby.ts
@@ -146,6 +146,10 @@
     return this.guard.isConfirmed;
   }
 
+  get wasConfirmed(): boolean {
+    return this.guard.wasConfirmed;
+  }
+
   confirm(sentAt: number): void {
     this.guard.confirm(sentAt);
   }
@@ -160,7 +164,8 @@
     const { claims, replica } = this.dependencies;
     const outcome = this.barrierOf(role).assess({
       tenure: held.acquisition,
-      isConfirmed: this.isConfirmed,
+      // Whoever has found the role held has looked at this very moment.
+      isConfirmed: this.wasConfirmed,
       isInTouch: claims.inTouch,
       completeUpTo: replica.epoch,
     });
