Standby: a barrier reason and a method that nothing reached are gone

The stream is reconciled in the step that finds the copy complete, so its own reason could never be told. Change: removed; no change in behaviour. Measured: package and standby tests.

--- a/packages/standby/src/stream-sender.ts
+++ b/packages/standby/src/stream-sender.ts
@@ -86,10 +86,6 @@
     follower.unacknowledged = [];
   }
 
-  forget(node: string): void {
-    this.followers.delete(node);
-  }
-
   /** What is to be sent now, by follower. To be called whenever something changed, and now and then. */
   compose(): Map<string, StreamBatch[]> {
     this.refill();
--- a/packages/standby/src/takeover-barrier.ts
+++ b/packages/standby/src/takeover-barrier.ts
@@ -1,6 +1,6 @@
 /** What must hold before a controller takes its first decision in a role, and before each one after it. */
 
-export type BarrierReason = 'no_claim' | 'unconfirmed' | 'out_of_touch' | 'records_behind' | 'stream_not_reconciled';
+export type BarrierReason = 'no_claim' | 'unconfirmed' | 'out_of_touch' | 'records_behind';
 
 export type BarrierOutcome = { readonly kind: 'open' } | { readonly kind: 'closed'; readonly reason: BarrierReason };
 
