One way to write Avro records; keys and records of the standby beside their kin

Change: mesh/avro-record.ts serves both; standbyKey stands with the keys, its record with the records.

--- a/src/ledger/records.ts
+++ b/src/ledger/records.ts
@@ -21,16 +21,10 @@
 export const formatKey = (node: string): string => `${LIVE}format/node/${node}`;
 /** There once all controllers have been seen to read the present form of records; never dropped. */
 export const FORMAT_COMPLETE_KEY = `${LIVE}format/complete`;
-/** Kept under its hold by each process that reads the warm standby's stream. */
-export const standbyKey = (node: string): string => `${LIVE}standby/${node}`;
-
-export interface StandbyRecord {
-  /** The process, as its gossip names it. */
-  life: number;
-  latch: number;
-}
 /** Version of the form of records that this program reads: 2 knows compact ledger chunks. */
 export const RECORD_FORMAT = 2;
+/** Kept under its hold by each process that reads the warm standby's stream. */
+export const standbyKey = (node: string): string => `${LIVE}standby/${node}`;
 
 export type Shape = 'array' | 'ensemble' | 'service';
 export type Rank = 'prod' | 'high' | 'normal' | 'low';
@@ -86,6 +80,12 @@
   latch: number;
 }
 
+export interface StandbyRecord {
+  /** The process, as its gossip names it. */
+  life: number;
+  latch: number;
+}
+
 export interface EndedRecord {
   phase: 'done' | 'withdrawn';
   shards: number;
--- a/src/mesh/messages.ts
+++ b/src/mesh/messages.ts
@@ -2,6 +2,7 @@
 import type { StreamMessage } from '@dewlatch/standby';
 import type { SentChange } from '../state/replica.js';
 import type { MachineState } from '../workers/machine-state.js';
+import { record } from './avro-record.js';
 import { decodeStreamMessage, encodeStreamMessage, isStreamMessage } from './stream-codec.js';
 
 /** What each controller tells the others every second. */
@@ -200,13 +201,6 @@
   /** Only to peers that have said in the store that they read it. */
   | { stream: StreamMessage };
 
-/** A record of fields, each with the name of its Avro type or the type itself. */
-const record = (name: string, fields: Record<string, avro.Schema>): avro.Schema => ({
-  type: 'record',
-  name,
-  fields: Object.entries(fields).map(([field, type]) => ({ name: field, type })),
-});
-
 const change = record('RecordChange', { key: 'string', value: ['null', 'string'], stamp: 'long' });
 
 /** Exactly one of them is there. */
--- a/src/mesh/stream-codec.ts
+++ b/src/mesh/stream-codec.ts
@@ -4,17 +4,12 @@
  */
 import avro from 'avsc';
 import { ADVISORY_KINDS, type FollowRequest, type StreamBatch, type StreamMessage } from '@dewlatch/standby';
+import { record } from './avro-record.js';
 
 /** Other messages begin with 0 or 2, the branches of the envelope's first field. */
 const STREAM_MARK = 0xff;
 const MARK = Buffer.from([STREAM_MARK]);
 
-const record = (name: string, fields: Record<string, avro.Schema>): avro.Schema => ({
-  type: 'record',
-  name,
-  fields: Object.entries(fields).map(([field, type]) => ({ name: field, type })),
-});
-
 const follow = record('Follow', {
   ...{ node: 'string', life: 'long', clock: 'double' },
   ...{ followedLife: 'long', upTo: 'long' },
