Log why requests are refused, and a periodic status of each node's shared resources

Cause: users' queries stayed unanswered at about 4,000 machines, and nothing that the processes logged could tell why: no times, no reasons, no queue lengths.

Change: an unanswered query has a typed reason (store_unavailable, store_refused, deadline_exceeded, records_changed, dependency_unknown, record_unreadable), counted by RefusalLog and logged at most every 5 s per reason, with the replica's revision and age. Refused submissions, cancellations, heartbeats and too many open requests are counted too. Every 10 s a line 'node status' has the fencing tokens held, revision and age of the replica, longest delay of the event loop, longest turn of a plan, longest waits for tokens by priority, outgoing connections and waiting calls, incoming connections by kind, dropped ones, and the heap. 'records loaded' says what was read and when. Each line has the monotonic time.

Behaviour is unchanged.

--- a/src/api/api-server.ts
+++ b/src/api/api-server.ts
@@ -4,7 +4,9 @@
 
 import { KEEP_ALIVE_MS, MAX_OPEN_REQUESTS, REQUEST_TIMEOUT_MS, RETRY_AFTER_S } from '../constants/api.js';
 import type { Log } from '../logging/log.js';
+import type { RefusalLog } from '../logging/refusal-log.js';
 import type { JsonResponse } from '../net/json-response.js';
+import { ConnectionCounts, type ConnectionKind } from './connection-counts.js';
 import { readBody } from './request-body.js';
 import { type Handlers, type Route, Routes } from './routes.js';
 
@@ -15,16 +17,27 @@
 const TOO_LARGE: JsonResponse = { status: 400, body: { error: 'body over 64 KiB' } };
 const INTERNAL_ERROR: JsonResponse = { status: 503, body: { error: 'internal' }, retryAfter: RETRY_AFTER_S };
 
+/** Connections and requests of the server at one moment. */
+export interface ApiServerStatus {
+  connections: Readonly<Record<ConnectionKind, number>>;
+  openUserRequests: number;
+  /** Connections that were closed at once since the last report, because the limit was reached. */
+  droppedConnections: number;
+}
+
 /** Routes requests to their handlers. Limits the number of open users' requests, so that memory use is bounded. */
 export class ApiServer {
   private readonly server: Server;
   private readonly routes: Routes;
   /** Users' requests that are being read or handled. */
   private openUserRequests = 0;
+  private readonly connections = new ConnectionCounts();
+  private droppedConnections = 0;
 
   constructor(
     handlers: Handlers,
     private readonly log: Log,
+    private readonly refusals: RefusalLog,
     maxSockets: number,
   ) {
     this.routes = new Routes(handlers);
@@ -36,6 +49,8 @@
     this.server.keepAliveTimeout = 0;
     this.server.timeout = KEEP_ALIVE_MS;
     this.server.maxConnections = maxSockets;
+    this.server.on('connection', (socket) => this.connections.opened(socket));
+    this.server.on('drop', () => this.droppedConnections++);
     this.server.on('clientError', (_error, socket) => {
       if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
       else socket.destroy();
@@ -59,12 +74,20 @@
     this.server.emit('connection', connection);
   }
 
+  /** The connections, and what was dropped since the last call. */
+  takeStatus(): ApiServerStatus {
+    const { openUserRequests, droppedConnections } = this;
+    this.droppedConnections = 0;
+    return { connections: this.connections.current(), openUserRequests, droppedConnections };
+  }
+
   private serve(request: IncomingMessage, response: ServerResponse): void {
     const route = this.routes.find(request.url ?? '/');
     if (route === undefined) {
       sendWithoutReading(request, response, NO_SUCH_PATH);
       return;
     }
+    this.connections.used(request.socket, route.connectionKind);
     const refusal = this.refusalFor(route, request.method);
     if (refusal !== undefined) {
       sendWithoutReading(request, response, refusal);
@@ -89,7 +112,9 @@
 
   private refusalFor(route: Route, method: string | undefined): JsonResponse | undefined {
     if (route.method !== method) return WRONG_METHOD;
-    return route.isConcurrencyLimited && this.openUserRequests >= MAX_OPEN_REQUESTS ? BUSY : undefined;
+    if (!route.isConcurrencyLimited || this.openUserRequests < MAX_OPEN_REQUESTS) return undefined;
+    this.refusals.record({ kind: 'request', reason: 'too_many_requests' });
+    return BUSY;
   }
 
   /** Counts a request as open until the returned function is called, or its sender disconnects before it has been read. */
--- a/src/api/job-lookup.ts
+++ b/src/api/job-lookup.ts
@@ -3,6 +3,7 @@
 import { REPLICA_FRESH_MS } from '../constants/leadership.js';
 import { QUEUED_REPLICA_AGE_SHARE } from '../constants/records.js';
 import type { DependencyStates } from '../jobs/dependency-states.js';
+import type { RefusalLog } from '../logging/refusal-log.js';
 import type { Clock } from '../net/clock.js';
 import { Priority } from '../net/token-bucket.js';
 import type { ClusterState, JobView } from '../records/cluster-state.js';
@@ -20,17 +21,34 @@
   | { kind: 'found'; status: JobStatus }
   /** The store has just confirmed that there never was such a job, or the id is malformed. */
   | { kind: 'not_found' }
-  /** The status is uncertain now: the store does not respond in time, or this node lacks a record that it depends on. */
-  | { kind: 'unavailable' };
+  /** The status is uncertain now. */
+  | { kind: 'unavailable'; reason: UnavailableReason };
+
+/** Why a status can't be reported. */
+export type UnavailableReason =
+  /** The store has refused or not answered this node for a while. */
+  | 'store_unavailable'
+  /** The store refused this comparison, or did not answer it. */
+  | 'store_refused'
+  /** The user is about to give up. */
+  | 'deadline_exceeded'
+  /** The records changed at each attempt to confirm them. */
+  | 'records_changed'
+  /** This node can't tell whether a job that it depends on is cancelled. */
+  | 'dependency_unknown'
+  /** The job's record can't be decoded. */
+  | 'record_unreadable';
 
 const NOT_FOUND: LookupResult = { kind: 'not_found' };
-const UNAVAILABLE: LookupResult = { kind: 'unavailable' };
+const unavailable = (reason: UnavailableReason): LookupResult => ({ kind: 'unavailable', reason });
 
 const foundJob = (status: JobStatus): LookupResult => ({ kind: 'found', status });
 
 interface PendingLookup {
   jobId: string;
   /** Monotonic ms. */
+  startedAtMs: number;
+  /** Monotonic ms. */
   deadlineMs: number;
   resolve: (result: LookupResult) => void;
 }
@@ -44,6 +62,7 @@
   states: DependencyStates;
   limits: TransactionLimits;
   clock: Clock;
+  refusals: RefusalLog;
   /** ms within which a cancellation must have taken effect. */
   cancelDeadlineMs: number;
 }
@@ -100,9 +119,26 @@
     const final = this.finalStatus(jobId);
     if (final !== undefined) return Promise.resolve(foundJob(final));
     if (!JOB_ID_PATTERN.test(jobId)) return Promise.resolve(NOT_FOUND);
-    if (this.isStoreUnavailable) return Promise.resolve(UNAVAILABLE);
-    const deadlineMs = this.dependencies.clock.now() + POLL_DEADLINE_MS;
-    return new Promise((resolve) => startLookup({ jobId, deadlineMs, resolve }));
+    const { clock } = this.dependencies;
+    const startedAtMs = clock.now();
+    const deadlineMs = startedAtMs + POLL_DEADLINE_MS;
+    return new Promise((resolve) => {
+      const lookup: PendingLookup = { jobId, startedAtMs, deadlineMs, resolve };
+      if (this.isStoreUnavailable) this.complete(lookup, unavailable('store_unavailable'));
+      else startLookup(lookup);
+    });
+  }
+
+  /** Resolves the lookup; one that can't be answered is recorded with its reason. */
+  private complete({ jobId, startedAtMs, resolve }: PendingLookup, result: LookupResult): void {
+    const { clock, replica, refusals } = this.dependencies;
+    if (result.kind === 'unavailable') {
+      const nowMs = clock.now();
+      const { reason } = result;
+      const fields = { jobId, replicaRevision: replica.revision, replicaAgeMs: Math.round(nowMs - replica.freshAt) };
+      refusals.record({ kind: 'query', reason, ageMs: nowMs - startedAtMs, fields });
+    }
+    resolve(result);
   }
 
   private async resolvePendingAfterDelay(): Promise<void> {
@@ -117,22 +153,28 @@
   private async resolveBatch(batch: readonly PendingLookup[]): Promise<void> {
     const { client, clock, states } = this.dependencies;
     let unresolved = batch;
+    let reason: UnavailableReason = 'records_changed';
     for (let attempt = 0; attempt < MAX_POLL_ATTEMPTS && unresolved.length > 0; attempt++) {
       await states.loadFinalStates(unresolved.flatMap(({ jobId }) => this.dependenciesInUnknownState(jobId)));
       const nowMs = clock.now();
-      for (const lookup of unresolved) if (nowMs > lookup.deadlineMs) lookup.resolve(UNAVAILABLE);
+      for (const lookup of unresolved) {
+        if (nowMs > lookup.deadlineMs) this.complete(lookup, unavailable('deadline_exceeded'));
+      }
       unresolved = unresolved.filter((lookup) => nowMs <= lookup.deadlineMs);
       // The results are determined before the comparison, so that it confirms exactly what is reported.
       const results = new Map(unresolved.map(({ jobId }) => [jobId, this.unconfirmedResult(jobId)]));
       const result = await client.transact(this.conditionsFor(unresolved), [], Priority.record);
       if (result.kind === 'done') {
-        for (const lookup of unresolved) lookup.resolve(results.get(lookup.jobId)!);
+        for (const lookup of unresolved) this.complete(lookup, results.get(lookup.jobId)!);
         return;
       }
-      if (result.kind !== 'conflict') break;
+      if (result.kind !== 'conflict') {
+        reason = 'store_refused';
+        break;
+      }
       await Promise.all(result.failed.map((key) => this.refreshRecord(key)));
     }
-    for (const lookup of unresolved) lookup.resolve(UNAVAILABLE);
+    for (const lookup of unresolved) this.complete(lookup, unavailable(reason));
   }
 
   /** Conditions that the live and final records of each job are the same in the store as on this node. */
@@ -158,7 +200,9 @@
     const { clusterState, replica } = this.dependencies;
     const view = clusterState.jobs.get(jobId);
     // A live record that can't be decoded still proves that the job was accepted.
-    if (view === undefined) return replica.get(jobKey(jobId)).value === undefined ? NOT_FOUND : UNAVAILABLE;
+    if (view === undefined) {
+      return replica.get(jobKey(jobId)).value === undefined ? NOT_FOUND : unavailable('record_unreadable');
+    }
     const { doneCount: done, placedCount: running } = view;
     if (view.record.state === 'waiting') return this.waitingResult(view);
     if (view.record.state === 'cancelled') return foundJob({ jobId, state: 'cancelled', done, running: 0 });
@@ -172,7 +216,7 @@
       clusterState.dependencies.dependenciesOf(jobId),
     );
     if (isAnyCancelled) return foundJob({ jobId, state: 'cancelled', done: 0, running: 0 });
-    if (unknown.length > 0 || !this.hasCurrentCancellations) return UNAVAILABLE;
+    if (unknown.length > 0 || !this.hasCurrentCancellations) return unavailable('dependency_unknown');
     return foundJob({ jobId, state: 'queued', done: 0, running: 0 });
   }
 
--- a/src/api/job-service.ts
+++ b/src/api/job-service.ts
@@ -1,5 +1,6 @@
 /** Handles users' requests about jobs (submission, status, cancellation) and encodes the responses. */
 import type { JobSpec } from '../domain/job.js';
+import type { RefusalLog } from '../logging/refusal-log.js';
 import type { JsonResponse } from '../net/json-response.js';
 import { JobAcceptance, type JobAcceptanceDependencies } from './job-acceptance.js';
 import { JobAdmission, type JobAdmissionDependencies } from './job-admission.js';
@@ -8,7 +9,9 @@
 import { encodeJobState, type ParsedSubmission, parseSubmission } from './job-wire-codec.js';
 
 /** The combined dependencies of the service's parts. */
-export type JobServiceDependencies = JobAdmissionDependencies & JobAcceptanceDependencies & JobCancellationDependencies;
+export type JobServiceDependencies = JobAdmissionDependencies &
+  JobAcceptanceDependencies &
+  JobCancellationDependencies & { refusals: RefusalLog };
 
 /** An accepted job is known for ever: a repeated submission gets its status, whatever else is wrong with the submission. */
 export class JobService {
@@ -45,10 +48,16 @@
       case 'known':
         return this.statusOrElse(spec.id, storeUnavailable());
       case 'unavailable':
-        return storeUnavailable();
+        return this.refuse('submission', spec.id);
     }
   }
 
+  private refuse(kind: 'submission' | 'cancellation', jobId: string): JsonResponse {
+    const reason = 'not_recorded_in_time';
+    this.dependencies.refusals.record({ kind, reason, fields: { jobId } });
+    return storeUnavailable();
+  }
+
   /** The status of a job. */
   async poll(jobId: string): Promise<JsonResponse> {
     return this.statusOrElse(jobId, noSuchJob());
@@ -63,7 +72,7 @@
       case 'not_found':
         return noSuchJob();
       case 'unavailable':
-        return storeUnavailable();
+        return this.refuse('cancellation', jobId);
     }
   }
 
--- a/src/api/routes.ts
+++ b/src/api/routes.ts
@@ -1,5 +1,6 @@
 /** Maps the path of a request to its method and handler. */
 import type { JsonResponse } from '../net/json-response.js';
+import type { ConnectionKind } from './connection-counts.js';
 
 /** The handlers of requests from users, workers and health checks. */
 export interface Handlers {
@@ -17,6 +18,8 @@
   method: 'GET' | 'POST';
   /** True for users' requests, whose number in progress is limited; heartbeats and health checks are always handled. */
   isConcurrencyLimited: boolean;
+  /** Who sends such requests. */
+  connectionKind: ConnectionKind;
   /** The handler takes the request's JSON body; otherwise the body is discarded. */
   readsBody: boolean;
   handle(body: unknown): JsonResponse | Promise<JsonResponse>;
@@ -36,17 +39,30 @@
         {
           method: 'POST',
           isConcurrencyLimited: false,
+          connectionKind: 'worker',
           readsBody: true,
           handle: (body) => handlers.answerHeartbeat(body),
         },
       ],
       [
         '/up',
-        { method: 'GET', isConcurrencyLimited: false, readsBody: false, handle: () => handlers.answerHealthCheck() },
+        {
+          method: 'GET',
+          isConcurrencyLimited: false,
+          connectionKind: 'probe',
+          readsBody: false,
+          handle: () => handlers.answerHealthCheck(),
+        },
       ],
       [
         JOBS_PATH,
-        { method: 'POST', isConcurrencyLimited: true, readsBody: true, handle: (body) => handlers.submit(body) },
+        {
+          method: 'POST',
+          isConcurrencyLimited: true,
+          connectionKind: 'user',
+          readsBody: true,
+          handle: (body) => handlers.submit(body),
+        },
       ],
     ]);
   }
@@ -64,8 +80,20 @@
     if (jobId === undefined) return undefined;
     const isCancellation = match?.[2] !== undefined;
     return isCancellation
-      ? { method: 'POST', isConcurrencyLimited: true, readsBody: false, handle: () => this.handlers.cancel(jobId) }
-      : { method: 'GET', isConcurrencyLimited: true, readsBody: false, handle: () => this.handlers.poll(jobId) };
+      ? {
+          method: 'POST',
+          isConcurrencyLimited: true,
+          connectionKind: 'user',
+          readsBody: false,
+          handle: () => this.handlers.cancel(jobId),
+        }
+      : {
+          method: 'GET',
+          isConcurrencyLimited: true,
+          connectionKind: 'user',
+          readsBody: false,
+          handle: () => this.handlers.poll(jobId),
+        };
   }
 }
 
--- a/src/controller/background-loops.ts
+++ b/src/controller/background-loops.ts
@@ -26,6 +26,7 @@
 import type { CancellationEnforcer } from '../workers/cancellation-enforcer.js';
 import { TokenAnnouncer } from '../workers/token-announcer.js';
 import type { WorkerManager } from '../workers/worker-manager.js';
+import type { NodeStatus } from './node-status.js';
 
 /** The parts that the background loops run. */
 export interface BackgroundLoopsDependencies {
@@ -46,6 +47,7 @@
   completion: JobCompletion;
   waitingJobAdvancer: WaitingJobAdvancer;
   roleRebalancer: RoleRebalancer;
+  nodeStatus: NodeStatus;
   /** undefined: the warm standby is switched off. */
   standby: Standby | undefined;
 }
@@ -68,6 +70,7 @@
   const repeat = (periodMs: number, work: () => Promise<void> | void): Promise<void> =>
     runPeriodically(periodMs, { clock, log, signal }, work);
   await Promise.all([
+    dependencies.nodeStatus.run(signal),
     dependencies.replica.run(signal),
     dependencies.leadership.run(signal),
     dependencies.workerManager.run(signal),
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -15,6 +15,7 @@
 import { RoleRebalancer } from '../leadership/role-rebalancer.js';
 import type { Standby } from '../leadership/standby.js';
 import type { Log } from '../logging/log.js';
+import { RefusalLog } from '../logging/refusal-log.js';
 import { parseAddress } from '../net/address.js';
 import type { Clock } from '../net/clock.js';
 import type { HttpClient } from '../net/http-client.js';
@@ -30,6 +31,7 @@
 import { createGossipParts, type GossipParts } from './gossip-parts.js';
 import { createJobParts, type JobParts } from './job-parts.js';
 import { createLeadershipParts, type LeadershipParts } from './leadership-parts.js';
+import { NodeStatus } from './node-status.js';
 import { PeerMessageRouter } from './peer-message-router.js';
 import { createRecordParts, type RecordParts } from './record-parts.js';
 import { createSchedulingParts, type SchedulingParts } from './scheduling-parts.js';
@@ -66,10 +68,13 @@
   private readonly handover: Handover;
   private readonly roleRebalancer: RoleRebalancer;
   private readonly messageRouter: PeerMessageRouter;
+  private readonly nodeStatus: NodeStatus;
+  private apiServer: ApiServer | undefined;
 
   constructor({ settings, tuning, http, clock, log, seed = randomInt(SEED_BOUND) }: ControllerOptions) {
     this.environment = {
       ...{ settings, tuning, http, clock, log },
+      refusals: new RefusalLog(() => clock.now(), log),
       random: new Random(seed),
       incarnation: randomInt(INCARNATION_BOUND),
       send: (node, message) => this.send(node, message),
@@ -104,6 +109,13 @@
       standby: this.standby,
       send: this.environment.send,
     });
+    this.nodeStatus = new NodeStatus({
+      ...this.environment,
+      ...this.recordParts,
+      leadership: this.leadership,
+      planner: this.planner,
+      apiServer: () => this.apiServer?.takeStatus(),
+    });
   }
 
   private buildRecordParts(): RecordParts {
@@ -170,12 +182,13 @@
 
   /** Serves users, workers and the other controllers until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    const { settings, log } = this.environment;
+    const { settings, log, refusals } = this.environment;
     const maxSockets = Math.floor(settings.cluster.sockets * HTTP_SERVER_SOCKET_SHARE);
-    const server = new ApiServer(this.createHandlers(), log, maxSockets);
+    const server = new ApiServer(this.createHandlers(), log, refusals, maxSockets);
+    this.apiServer = server;
     const { host, port } = parseAddress(settings.apiAddress);
     await server.listen(host, port, signal);
-    log.info({ address: settings.apiAddress }, 'listening');
+    log.info({ address: settings.apiAddress, maxSockets }, 'listening');
     const links = this.createLinks();
     this.send = (node, message) => links.send(node, message);
     await Promise.all([links.run(signal), this.runBackgroundLoops(signal)]);
@@ -211,6 +224,7 @@
         ...this.workerParts,
         ...this.schedulingParts,
         ...this.jobParts,
+        nodeStatus: this.nodeStatus,
         standby: this.standby,
         roleRebalancer: this.roleRebalancer,
       },
--- a/src/controller/environment.ts
+++ b/src/controller/environment.ts
@@ -3,6 +3,7 @@
 import type { Settings } from '../domain/settings.js';
 import type { Message } from '../gossip/messages.js';
 import type { Log } from '../logging/log.js';
+import type { RefusalLog } from '../logging/refusal-log.js';
 import type { Clock } from '../net/clock.js';
 import type { HttpClient } from '../net/http-client.js';
 import type { Random } from '../net/random.js';
@@ -14,6 +15,8 @@
   readonly http: HttpClient;
   readonly clock: Clock;
   readonly log: Log;
+  /** Records the requests that this node can't answer, with the reasons. */
+  readonly refusals: RefusalLog;
   readonly random: Random;
   /** Distinguishes this process from earlier processes of the same node. */
   readonly incarnation: number;
--- a/src/controller/record-parts.ts
+++ b/src/controller/record-parts.ts
@@ -4,6 +4,7 @@
 import { RecordBroadcast } from '../gossip/record-broadcast.js';
 import { ReplicaFreshness } from '../gossip/replica-freshness.js';
 import { watchPauseMs } from '../gossip/watch-pause.js';
+import type { Log } from '../logging/log.js';
 import { ClusterState, type ClusterStateListener } from '../records/cluster-state.js';
 import { LIVE_PREFIX } from '../records/record-keys.js';
 import { createRecordSizer } from '../records/record-sizer.js';
@@ -27,6 +28,11 @@
   readonly broadcast: RecordBroadcast;
 }
 
+function logLoads(replica: Replica, log: Log): void {
+  replica.onLoaded = ({ revision, rowCount, tookMs }) =>
+    log.info({ revision, rowCount, tookMs: Math.round(tookMs) }, 'records loaded');
+}
+
 /** `isFormatComplete`: whether all controllers can read the current record format. */
 export function createRecordParts(
   environment: Environment,
@@ -45,6 +51,7 @@
   });
   const peerDirectory: PeerDirectory = new PeerDirectory(peers, clock, () => replica.freshAt);
   const replica: Replica = new Replica(client, LIVE_PREFIX, clock, () => watchPauseMs(peerDirectory));
+  logLoads(replica, log);
   const clusterState = new ClusterState(replica, listener);
   const transactions = new TransactionBatcher({
     ...{ client, replica, limits, clock, random },
--- a/src/controller/worker-parts.ts
+++ b/src/controller/worker-parts.ts
@@ -39,7 +39,7 @@
   leadership: RoleLeadership,
   hooks: WorkerPartsHooks,
 ): WorkerParts {
-  const { settings, tuning, http, clock, log, incarnation, send } = environment;
+  const { settings, tuning, http, clock, log, refusals, incarnation, send } = environment;
   const { clusterState, peerDirectory } = records;
   const happiness = new Happiness(tuning.happinessWindowMs);
   const healthChecks = new HealthChecks({ clusterState, happiness, clock });
@@ -53,7 +53,7 @@
     node: settings.node,
     workerManager,
     heartbeatForwarder,
-    log,
+    ...{ log, refusals },
     onMisrouted: hooks.onMisrouted,
   });
   const cancellationEnforcer = new CancellationEnforcer({
--- a/src/leadership/role-leadership.ts
+++ b/src/leadership/role-leadership.ts
@@ -144,6 +144,12 @@
     return clock.now() < replicaFreshness.completeAsOf() + this.degradedServingMs ? held : undefined;
   }
 
+  /** The fencing token of each role that this node leads. */
+  heldFencingTokens(): Record<string, number> {
+    const held = this.preferences.roles().map((role) => [role, this.leadershipOf(role)?.fencingToken] as const);
+    return Object.fromEntries(held.filter((each): each is [string, number] => each[1] !== undefined));
+  }
+
   ledPartitions(): number[] {
     return this.preferences.partitions().filter((partition) => this.leadershipOf(partitionRole(partition)));
   }
--- a/src/net/http-client.ts
+++ b/src/net/http-client.ts
@@ -33,10 +33,18 @@
   signal?: AbortSignal;
 }
 
+/** The open connections of an HTTP client, and the calls that wait for one. */
+export interface ConnectionStatus {
+  open: number;
+  waitingCalls: number;
+}
+
 /** The interface for all outgoing HTTP calls; tests implement it with a fake network. */
 export interface HttpClient {
   /** `address` is 'host:port'; `body` is sent as JSON, or not at all if undefined. Rejects only with NoResponseError. */
   call(address: string, method: string, path: string, body: unknown, options: CallOptions): Promise<HttpResponse>;
+  /** Absent if the client has no connections of its own. */
+  connectionStatus?(): ConnectionStatus;
 }
 
 /** Maximum of idle connections to one address. */
@@ -64,6 +72,11 @@
     this.agent.destroy();
   }
 
+  connectionStatus(): ConnectionStatus {
+    const { sockets, freeSockets, requests } = this.agent;
+    return { open: countAll(sockets) + countAll(freeSockets), waitingCalls: countAll(requests) };
+  }
+
   // eslint-disable-next-line max-params -- every client and test double implements this signature, and each call needs all five
   call(address: string, method: string, path: string, body: unknown, options: CallOptions): Promise<HttpResponse> {
     const payload = body === undefined ? undefined : JSON.stringify(body);
@@ -76,6 +89,9 @@
   }
 }
 
+const countAll = (listsByAddress: NodeJS.ReadOnlyDict<readonly unknown[]>): number =>
+  Object.values(listsByAddress).reduce((sum, list) => sum + (list?.length ?? 0), 0);
+
 const jsonHeaders = (payload: string): Record<string, string | number> => ({
   'Content-Type': 'application/json',
   'Content-Length': Buffer.byteLength(payload),
--- a/src/net/token-bucket.ts
+++ b/src/net/token-bucket.ts
@@ -47,6 +47,8 @@
   /** Ordered by rank, and within a rank by arrival. */
   private waiters: Waiter[] = [];
   private isGranting = false;
+  /** The longest waits of granted requests since the last report, ms, by priority. */
+  private longestWaits = new Map<Priority, number>();
   /** Current tokens per second, between `minRate` and `maxRate`. */
   private rate: number;
 
@@ -92,6 +94,19 @@
     });
   }
 
+  /** Returns the longest waits since the last call, ms, by priority; requests that still wait are included. */
+  takeLongestWaits(): ReadonlyMap<Priority, number> {
+    const { longestWaits } = this;
+    this.longestWaits = new Map();
+    for (const waiter of this.waiters) this.recordWait(longestWaits, waiter);
+    return longestWaits;
+  }
+
+  private recordWait(longestWaits: Map<Priority, number>, { priority, waitingSince }: Waiter): void {
+    const waitMs = this.clock.now() - waitingSince;
+    longestWaits.set(priority, Math.max(waitMs, longestWaits.get(priority) ?? 0));
+  }
+
   private enqueue(waiter: Waiter): void {
     const rank = queueRankOf(waiter.priority);
     let index = this.waiters.length;
@@ -137,6 +152,7 @@
         continue;
       }
       this.waiters.shift();
+      this.recordWait(this.longestWaits, next);
       this.tokens -= next.cost;
       next.grant();
     }
--- a/src/scheduling/placement-planner.ts
+++ b/src/scheduling/placement-planner.ts
@@ -104,6 +104,11 @@
     return this.timer.run(signal);
   }
 
+  /** Returns for how long a plan has kept the event loop busy at most since the last call, ms. */
+  takeLongestTurnMs(): number {
+    return this.timer.takeLongestTurnMs();
+  }
+
   /** Requests a plan after a change; an urgent one, for work that must start within seconds, is made sooner. */
   planSoon(isUrgent = false): void {
     this.timer.planSoon(isUrgent);
--- a/src/scheduling/plan-timer.ts
+++ b/src/scheduling/plan-timer.ts
@@ -23,8 +23,18 @@
   /** No plan is made before this time unless it is urgent. */
   private pausedUntilMs = -Infinity;
 
+  /** The longest uninterrupted plan since the last report, ms. */
+  private longestTurnMs = 0;
+
   constructor(private readonly dependencies: PlanTimerDependencies) {}
 
+  /** Returns for how long a plan has kept the event loop busy at most since the last call, ms. */
+  takeLongestTurnMs(): number {
+    const { longestTurnMs } = this;
+    this.longestTurnMs = 0;
+    return longestTurnMs;
+  }
+
   /** Plans periodically, even without events, until the signal aborts. No plan is made before this method is called. */
   async run(signal: AbortSignal): Promise<void> {
     this.signal = signal;
@@ -54,6 +64,7 @@
     this.dependencies.plan();
     const nowMs = this.dependencies.clock.now();
     const tookMs = nowMs - startedAtMs;
+    this.longestTurnMs = Math.max(this.longestTurnMs, tookMs);
     // Dozens of changes arrive per second: the longer plans take, the more rarely they run, each for all changes in between.
     this.pausedUntilMs = nowMs + planPauseMs(tookMs, PLANNING_TIME_SHARE);
     this.urgentPausedUntilMs = nowMs + planPauseMs(tookMs, URGENT_PLANNING_TIME_SHARE);
--- a/src/store/replica.ts
+++ b/src/store/replica.ts
@@ -44,6 +44,13 @@
 /** Called for each change that the replica applies; `previous` is undefined if the key was unknown. */
 export type ReplicaListener = (key: string, current: StoredValue, previous: StoredValue | undefined) => void;
 
+/** One complete read of the records from the store. */
+export interface ReplicaLoad {
+  revision: number;
+  rowCount: number;
+  tookMs: number;
+}
+
 /** Upper bound of a serialized change's size in bytes, without its key and value. */
 const CHANGE_ENVELOPE_BYTES = 16;
 
@@ -75,6 +82,8 @@
   isLoaded = false;
   /** Monotonic ms at which the latest request was sent whose response brought the replica fully up to date. */
   freshAt = -Infinity;
+  /** Called after each complete read of the records. */
+  onLoaded: (load: ReplicaLoad) => void = () => undefined;
 
   constructor(
     private readonly client: StoreClient,
@@ -199,6 +208,7 @@
     this.compactedRevision = Math.max(this.compactedRevision, revision);
     this.isLoaded = true;
     this.freshAt = Math.max(this.freshAt, sentAtMs);
+    this.onLoaded({ revision, rowCount: seenKeys.size, tookMs: this.clock.now() - sentAtMs });
   }
 
   /**
--- a/src/store/store-client.ts
+++ b/src/store/store-client.ts
@@ -125,6 +125,18 @@
     return reply;
   }
 
+  /** The longest waits for tokens since the last call, ms, by the name of the priority. */
+  takeLongestWaits(): Record<string, number> {
+    const requestWaits = this.requestBucket.takeLongestWaits();
+    const writeWaits = this.writeBucket.takeLongestWaits();
+    const waits: Record<string, number> = {};
+    for (const [name, priority] of Object.entries(Priority)) {
+      const waitMs = Math.max(requestWaits.get(priority) ?? 0, writeWaits.get(priority) ?? 0);
+      if (waitMs > 0) waits[name] = Math.round(waitMs);
+    }
+    return waits;
+  }
+
   private backOff(priority: Priority, { hasWrites }: { hasWrites: boolean }): void {
     const pauseMs = this.random.jitter(THROTTLE_PAUSE_MS, RETRY_JITTER_SHARE);
     if (hasWrites) this.writeBucket.backOff(pauseMs, priority);
--- a/src/workers/heartbeat-service.ts
+++ b/src/workers/heartbeat-service.ts
@@ -1,6 +1,7 @@
 import type { HeartbeatForwarder } from '../gossip/heartbeat-forwarder.js';
 import type { ForwardedHeartbeat, ForwardedHeartbeatAnswer } from '../gossip/messages.js';
 import type { Log } from '../logging/log.js';
+import type { RefusalLog } from '../logging/refusal-log.js';
 import type { JsonResponse } from '../net/json-response.js';
 import type { WorkerManager } from './worker-manager.js';
 import type { HeartbeatOutcome } from './worker-manager-dependencies.js';
@@ -12,6 +13,7 @@
   workerManager: WorkerManager;
   heartbeatForwarder: HeartbeatForwarder;
   log: Log;
+  refusals: RefusalLog;
   /**
    * Called at the first heartbeat of a worker whose partition another node leads: the other nodes must learn of it
    * before they consider the worker dead.
@@ -38,9 +40,15 @@
     if (outcome.kind === 'redirected' && outcome.shouldForward && outcome.node !== undefined) {
       return this.forward(outcome.node, body);
     }
+    this.recordRefusal(outcome, machineId);
     return encodeOutcome(outcome);
   }
 
+  private recordRefusal(outcome: HeartbeatOutcome, machineId: string): void {
+    if (outcome.kind !== 'unavailable') return;
+    this.dependencies.refusals.record({ kind: 'heartbeat', reason: outcome.error, fields: { machineId } });
+  }
+
   /** Returns the leader's own response, or a redirect if the leader does not respond with 200 in time. */
   private async forward(leader: string, body: unknown): Promise<JsonResponse> {
     const response = await this.dependencies.heartbeatForwarder.forward(leader, body);
--- a/test/api/api-server.test.ts
+++ b/test/api/api-server.test.ts
@@ -6,6 +6,8 @@
 import { ApiServer } from '../../src/api/api-server.js';
 import type { Handlers } from '../../src/api/routes.js';
 import { MAX_BODY_BYTES, MAX_OPEN_REQUESTS } from '../../src/constants/api.js';
+import { RefusalLog } from '../../src/logging/refusal-log.js';
+import { systemClock } from '../../src/net/clock.js';
 import type { JsonResponse } from '../../src/net/json-response.js';
 import { noLog } from '../../testing/fixtures.js';
 
@@ -21,6 +23,7 @@
       ...handlers,
     },
     noLog,
+    new RefusalLog(() => systemClock.now(), noLog),
     1000,
   );
   const openBoth = (): [Duplex, Duplex] => {
