--- a/testing/fake-clock.ts
+++ b/testing/fake-clock.ts
@@ -6,7 +6,7 @@
   fire: () => void;
 }
 
-/** Time that passes only in `advance`. */
+/** Time that passes only in `advance` and `spend`. */
 export class FakeClock implements Clock {
   private time = 1000;
   /** Times at which timers are due, in descending order. */
@@ -17,6 +17,11 @@
     return this.time;
   }
 
+  /** Lets time pass within the current turn of the event loop, as work on a processor does; timers then fire late. */
+  spend(ms: number): void {
+    this.time += ms;
+  }
+
   wall(): number {
     return 1_700_000_000_000 + this.time;
   }
@@ -75,7 +80,7 @@
       }
       await runPendingPromises();
     }
-    this.time = end;
+    this.time = Math.max(this.time, end);
   }
 }
 
