Place queued jobs in turns of the event loop, so that queries and renewals go on

What callers saw: at 4,000 machines queries got no answer or 429 long after all faults had ended; the load balancer removed nodes again and again, each time for longer.

Cause: a plan placed all queued jobs in one turn. Its bound on processor time (MAX_PLAN_TASKS) held for small jobs only, not for services, gangs and large arrays, and counted tasks, not time; the cost grows with jobs times machines, and the wait for a cached image compared each machine with each cached one. While a plan ran, no probe, no query, no heartbeat and no renewal of the store lease (3 s) was served. The leases expired, workers' leases too, so more tasks were queued, for plans that were longer.

Change: WorkTurns ends a turn after MAX_PLAN_TURN_MS (200 ms; the load balancer waits 1 s for a probe) and lets the event loop serve what has arrived. A plan ends when the store's confirmation is too old, and passes over jobs that have ended meanwhile; leadership, agent epoch and free resources were already checked where a start is committed. CachedImageWait uses a set.

--- a/src/scheduling/cached-image-wait.ts
+++ b/src/scheduling/cached-image-wait.ts
@@ -38,15 +38,17 @@
   ): readonly MachineInfo[] {
     const { spec } = view.record;
     if (spec.kind !== 'service' || spec.priority !== 'prod' || this.isWaitOver(view.jobId)) return machines;
-    const cachedMachines = machines.filter(
-      (machine) =>
-        machine.images.includes(spec.image) &&
-        this.canFitAfterEvictions(spec, machine.machineId, freeByMachine.get(machine.machineId)!),
+    const cachedMachines = new Set(
+      machines.filter(
+        (machine) =>
+          machine.images.includes(spec.image) &&
+          this.canFitAfterEvictions(spec, machine.machineId, freeByMachine.get(machine.machineId)!),
+      ),
     );
-    if (cachedMachines.length === 0) return machines;
-    const zones = new Set(cachedMachines.map((machine) => machine.zone));
+    if (cachedMachines.size === 0) return machines;
+    const zones = new Set([...cachedMachines].map((machine) => machine.zone));
     // In zones without such a machine all machines may be used: spreading across zones may need them.
-    return machines.filter((machine) => cachedMachines.includes(machine) || !zones.has(machine.zone));
+    return machines.filter((machine) => cachedMachines.has(machine) || !zones.has(machine.zone));
   }
 
   private isWaitOver(jobId: string): boolean {
--- a/src/scheduling/placement-planner.ts
+++ b/src/scheduling/placement-planner.ts
@@ -13,6 +13,7 @@
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
 import { Priority } from '../net/token-bucket.js';
+import type { WorkTurns } from '../net/work-turns.js';
 import type { ClusterState } from '../records/cluster-state.js';
 import { jobPlacementPrefix } from '../records/record-keys.js';
 import type { TeamAccounting } from '../records/team-accounting.js';
@@ -91,7 +92,7 @@
         transactionEnded: () => this.planSoon(),
       }),
     };
-    this.timer = new PlanTimer({ clock, plan: () => this.plan() });
+    this.timer = new PlanTimer({ clock, plan: (turns) => this.plan(turns) });
   }
 
   /** The tasks that the last round on the cluster leader could not place: the input of scale-out and preemption. */
@@ -143,14 +144,14 @@
     return this.usage.teamUsages();
   }
 
-  private plan(): void {
+  private async plan(turns: WorkTurns): Promise<void> {
     const { clusterState, inventory, leadership, clock } = this.dependencies;
     this.retryBackoff.prune(clock.now());
     this.roundDependencies.gangs.prune((jobId) => clusterState.jobs.has(jobId));
     const ledRoles = this.ledRoles();
     const hasWork = ledRoles.isClusterLeader || ledRoles.partitions.size > 0;
     if (!hasWork || !leadership.hasRecentStoreContact || inventory.catalog.size === 0) return;
-    this.placeQueuedJobs(ledRoles);
+    await this.placeQueuedJobs(ledRoles, turns);
   }
 
   private ledRoles(): LedRoles {
@@ -158,14 +159,20 @@
     return { isClusterLeader: leadership.isClusterLeader, partitions: new Set(leadership.ledPartitions()) };
   }
 
-  private placeQueuedJobs(ledRoles: LedRoles): void {
+  private async placeQueuedJobs(ledRoles: LedRoles, turns: WorkTurns): Promise<void> {
     const queuedJobs = this.roundDependencies.queue.queuedJobs();
     if (queuedJobs.length === 0) {
       this.unplaced = [];
       return;
     }
     const round = new PlacementRound(this.roundDependencies, ledRoles);
-    for (const queuedJob of queuedJobs) round.placeJob(queuedJob);
+    for (const queuedJob of queuedJobs) {
+      if (turns.isOver) {
+        await turns.next();
+        if (!this.dependencies.leadership.hasRecentStoreContact) return;
+      }
+      round.placeJob(queuedJob);
+    }
     if (ledRoles.isClusterLeader) this.unplaced = round.unplacedTasks;
   }
 }
--- a/src/scheduling/placement-round.ts
+++ b/src/scheduling/placement-round.ts
@@ -65,8 +65,9 @@
     taskPlacer.beginPlan();
   }
 
-  /** Places the tasks of one job. Jobs must be passed in the order of the queue. */
+  /** Places the tasks of one job, unless it has ended meanwhile. Jobs must be passed in the order of the queue. */
   placeJob({ record, isOverdue }: QueuedJob): void {
+    if (!this.dependencies.clusterState.jobs.has(record.spec.id)) return;
     if (isPlacedByLeader(record.spec)) this.placeLargeJob(record.spec, isOverdue);
     else this.placeSmallJob(record.spec, isOverdue);
   }
