--- a/src/net/work-turns.ts
+++ b/src/net/work-turns.ts
@@ -1,9 +1,6 @@
 /** Splits long work into turns of the event loop, so that requests, answers and lease renewals are served in between. */
 import type { Clock } from './clock.js';
 
-/** Shortest wait that lets the event loop handle everything that has arrived, ms. */
-const PAUSE_MS = 1;
-
 /** The turns of one kind of work, of which only one piece runs at a time. All times are monotonic ms. */
 export class WorkTurns {
   private startedAtMs = -Infinity;
@@ -14,6 +11,8 @@
   constructor(
     private readonly clock: Clock,
     private readonly maxTurnMs: number,
+    /** Pause between two turns. */
+    private readonly pauseMs: number,
   ) {}
 
   /** Begins the first turn of a piece of work. */
@@ -30,7 +29,7 @@
   /** Ends the turn, and resolves when the next one has begun. The state of the program may have changed in between. */
   async next(): Promise<void> {
     this.finishTurn();
-    await this.clock.sleep(PAUSE_MS);
+    await this.clock.sleep(this.pauseMs);
     this.startedAtMs = this.clock.now();
   }
 
--- a/src/scheduling/plan-timer.ts
+++ b/src/scheduling/plan-timer.ts
@@ -3,6 +3,7 @@
   MAX_PLAN_TURN_MS,
   PLAN_BATCHING_MS,
   PLAN_PERIOD_MS,
+  PLAN_TURN_PAUSE_MS,
   PLANNING_TIME_SHARE,
   URGENT_PLANNING_TIME_SHARE,
 } from '../constants/scheduling.js';
@@ -31,7 +32,7 @@
   private requestedPlan: 'none' | 'any' | 'urgent' = 'none';
 
   constructor(private readonly dependencies: PlanTimerDependencies) {
-    this.turns = new WorkTurns(dependencies.clock, MAX_PLAN_TURN_MS);
+    this.turns = new WorkTurns(dependencies.clock, MAX_PLAN_TURN_MS, PLAN_TURN_PAUSE_MS);
   }
 
   /** Returns for how long a plan has kept the event loop busy at most since the last call, ms. */
