Match each job's tasks in the machines' order of preference, in turns of the event loop

What callers saw: at 4,000 machines a controller answered nothing for more than a minute though all faults were over, soon after its last unplaced service task had started.

Change: all machines order tasks alike, so deferred acceptance with the proposals in that order displaces nobody and gives the same stable matching. Free resources and open zones only shrink, so each job goes through its preference list once. The code for displacements goes. The rescheduler places the tasks in turns (WorkTurns); a move was already committed only for the same attempt under the fencing token.

--- a/src/controller/scheduling-parts.ts
+++ b/src/controller/scheduling-parts.ts
@@ -26,7 +26,7 @@
   leadership: RoleLeadership,
   { inventory, happiness }: WorkerParts,
 ): SchedulingParts {
-  const { settings, tuning, http, clock, log, random } = environment;
+  const { settings, tuning, http, clock, log, random, invariants } = environment;
   const { cluster, cloudAddress } = settings;
   const { clusterState, transactions } = records;
   const planner = new PlacementPlanner({ ...environment, ...records, leadership, inventory });
@@ -40,7 +40,19 @@
   });
   const leader = new ClusterLeader({ ...environment, ...records, leadership, inventory, planner, cloud });
   const rescheduler = new Rescheduler({
-    ...{ tuning, leadership, clusterState, inventory, planner, transactions, happiness, clock, random, log },
+    ...{
+      tuning,
+      leadership,
+      clusterState,
+      inventory,
+      planner,
+      transactions,
+      happiness,
+      clock,
+      random,
+      invariants,
+      log,
+    },
   });
   const teamSettlement = new TeamSettlement({ ...records, teams: cluster.teams, leadership });
   return { planner, leader, rescheduler, teamSettlement };
--- a/src/scheduling/decisions/matching.ts
+++ b/src/scheduling/decisions/matching.ts
@@ -57,195 +57,97 @@
 export const isPreferredOver = (a: MatchingTask, b: MatchingTask): boolean =>
   a.usage.cpus > b.usage.cpus || (a.usage.cpus === b.usage.cpus && a.id < b.id);
 
-/** A machine with the tasks matched to it so far, the most preferred first, and the resources that they leave free. */
-class MachineAssignment {
-  readonly tasks: MatchingTask[] = [];
-  readonly free: Resources;
-
-  constructor(readonly machine: MatchingMachine) {
-    this.free = { ...machine.free };
-  }
-
-  add(task: MatchingTask): void {
-    let index = this.tasks.length;
-    while (index > 0 && isPreferredOver(task, this.tasks[index - 1]!)) index--;
-    this.tasks.splice(index, 0, task);
-    subtractResources(this.free, task.requested);
-  }
-
-  removeLowest(): MatchingTask {
-    const task = this.tasks.pop()!;
-    subtractResources(this.free, task.requested, -1);
-    return task;
-  }
-
-  remove(task: MatchingTask): void {
-    this.tasks.splice(this.tasks.indexOf(task), 1);
-    subtractResources(this.free, task.requested, -1);
-  }
-
-  countOf(group: string): number {
-    let count = 0;
-    for (const task of this.tasks) if (task.group === group) count++;
-    return count;
-  }
+/** A machine with the resources that its matched tasks leave free, and the number of these tasks by group. */
+interface MachineAssignment {
+  free: Resources;
+  countByGroup: Map<string, number>;
+}
 
-  /** Whether the task would fit if all matched tasks of lower preference were displaced. */
-  canAdmit(task: MatchingTask): boolean {
-    if (fits(task.requested, this.free)) return true;
-    const free = { ...this.free };
-    for (let index = this.tasks.length - 1; index >= 0 && !fits(task.requested, free); index--) {
-      const other = this.tasks[index]!;
-      if (!isPreferredOver(task, other)) return false;
-      subtractResources(free, other.requested, -1);
-    }
-    return fits(task.requested, free);
-  }
+/** How far a group has gone through its preference list. */
+interface GroupProgress {
+  preferences: readonly MatchingMachine[];
+  /** Index of the first machine that has not rejected a task of the group. */
+  position: number;
+  /** Number of matched tasks by zone. */
+  countByZone: Map<string, number>;
 }
 
-/** One run of the matching: the tasks that still have to propose, and the matches so far. */
-class StableMatching {
+/**
+ * Task-optimal many-to-one stable matching. All machines order tasks alike, so no task would ever be displaced if the tasks
+ * proposed in that order: this is deferred acceptance with the proposals in the order of the machines' preference. Each task
+ * is matched to the first machine of its preference list that has room for it. Free resources and open zones only shrink, so
+ * a machine that has rejected one task of a group rejects all later ones of the group.
+ */
+export class StableMatching {
+  /** The machine of each matched task, by task id; unmatched tasks have no entry. */
   readonly matches = new Map<string, MatchingMachine>();
-  private readonly preferenceLists = new Map<string, MatchingMachine[]>();
-  /** Created when a task first proposes to the machine: a few tasks propose only to a few of hundreds of machines. */
+  /** The tasks in the order in which they must be passed to `place`. */
+  readonly tasks: readonly MatchingTask[];
+  private readonly groups = new Map<string, GroupProgress>();
   private readonly assignments = new Map<MatchingMachine, MachineAssignment>();
-  /** The tasks that each machine has rejected, to be reconsidered when a matched task leaves the machine. */
-  private readonly rejectedTasks = new Map<MatchingMachine, Set<MatchingTask>>();
-  /** Number of matched tasks by group and zone. */
-  private readonly zoneCounts = new Map<string, Map<string, number>>();
-  private readonly proposers: MatchingTask[];
-  private readonly queued: Set<MatchingTask>;
 
   constructor(
     tasks: readonly MatchingTask[],
     private readonly machines: readonly MatchingMachine[],
     private readonly rules: MatchRules,
   ) {
-    this.proposers = [...tasks];
-    this.queued = new Set(tasks);
+    this.tasks = [...tasks].sort((a, b) => (isPreferredOver(a, b) ? -1 : 1));
   }
 
-  /** Lets tasks propose in turn until no task is admitted by a machine that it prefers to its current one. */
-  run(): void {
-    // The array grows during the loop, and the iteration includes the added tasks.
-    for (const task of this.proposers) {
-      this.queued.delete(task);
-      this.propose(task);
-    }
-  }
-
-  /** The task proposes to the machines that it prefers to its current one, until one admits it. */
-  private propose(task: MatchingTask): void {
-    const current = this.matches.get(task.id);
-    for (const machine of this.preferenceListFor(task)) {
-      if (machine === current) return;
-      const assignment = this.assignmentOf(machine);
-      if (this.canAdmit(assignment, task)) {
-        this.unassign(task, current);
-        this.admit(assignment, task);
+  /** Matches the next task. */
+  place(task: MatchingTask): void {
+    const progress = this.progressOf(task);
+    const { preferences } = progress;
+    while (progress.position < preferences.length) {
+      const machine = preferences[progress.position]!;
+      if (this.canAdmit(machine, task, progress)) {
+        this.admit(machine, task, progress);
         return;
       }
-      this.recordRejection(task, machine);
+      progress.position++;
     }
   }
 
-  private canAdmit(assignment: MachineAssignment, task: MatchingTask): boolean {
-    const { machine } = assignment;
-    const zoneCounts = this.zoneCountsOf(task.group);
-    if (!this.rules.isZoneOpen(task.group, machine.zone, zoneCounts)) return false;
-    if (!this.rules.isMachineOpen(task.group, machine, assignment.countOf(task.group))) return false;
-    return assignment.canAdmit(task);
+  private canAdmit(machine: MatchingMachine, { group, requested }: MatchingTask, progress: GroupProgress): boolean {
+    if (!this.rules.isZoneOpen(group, machine.zone, progress.countByZone)) return false;
+    const assignment = this.assignments.get(machine);
+    if (!this.rules.isMachineOpen(group, machine, assignment?.countByGroup.get(group) ?? 0)) return false;
+    return fits(requested, assignment?.free ?? machine.free);
   }
 
-  private unassign(task: MatchingTask, current: MatchingMachine | undefined): void {
-    if (current === undefined) return;
-    this.assignments.get(current)!.remove(task);
-    this.addToZoneCount(task, current, -1);
-    this.reconsiderRejected(current);
+  private admit(machine: MatchingMachine, { id, group, requested }: MatchingTask, progress: GroupProgress): void {
+    const { free, countByGroup } = this.assignmentOf(machine);
+    subtractResources(free, requested);
+    countByGroup.set(group, (countByGroup.get(group) ?? 0) + 1);
+    progress.countByZone.set(machine.zone, (progress.countByZone.get(machine.zone) ?? 0) + 1);
+    this.matches.set(id, machine);
   }
 
-  /** Displaces tasks of lower preference if the task would not fit otherwise; they propose again. */
-  private admit(assignment: MachineAssignment, task: MatchingTask): void {
-    const { machine } = assignment;
-    let hasDisplaced = false;
-    while (!fits(task.requested, assignment.free)) {
-      const displaced = assignment.removeLowest();
-      this.matches.delete(displaced.id);
-      this.addToZoneCount(displaced, machine, -1);
-      this.enqueue(displaced);
-      hasDisplaced = true;
-    }
-    assignment.add(task);
-    this.matches.set(task.id, machine);
-    this.addToZoneCount(task, machine, 1);
-    if (hasDisplaced) this.reconsiderRejected(machine);
-  }
-
-  private enqueue(task: MatchingTask): void {
-    if (this.queued.has(task)) return;
-    this.queued.add(task);
-    this.proposers.push(task);
-  }
-
-  private recordRejection(task: MatchingTask, machine: MatchingMachine): void {
-    const tasks = this.rejectedTasks.get(machine);
-    if (tasks === undefined) this.rejectedTasks.set(machine, new Set([task]));
-    else tasks.add(task);
-  }
-
-  private reconsiderRejected(machine: MatchingMachine): void {
-    const tasks = this.rejectedTasks.get(machine);
-    if (tasks === undefined) return;
-    this.rejectedTasks.delete(machine);
-    for (const task of tasks) this.enqueue(task);
-  }
-
-  private preferenceListFor(task: MatchingTask): readonly MatchingMachine[] {
-    const existing = this.preferenceLists.get(task.group);
+  private progressOf(task: MatchingTask): GroupProgress {
+    const existing = this.groups.get(task.group);
     if (existing !== undefined) return existing;
-    const list = preferenceListOf(task, this.machines, this.rules);
-    this.preferenceLists.set(task.group, list);
-    return list;
+    const preferences = preferenceListOf(task, this.machines, this.rules);
+    const progress: GroupProgress = { preferences, position: 0, countByZone: new Map() };
+    this.groups.set(task.group, progress);
+    return progress;
   }
 
   private assignmentOf(machine: MatchingMachine): MachineAssignment {
     const existing = this.assignments.get(machine);
     if (existing !== undefined) return existing;
-    const assignment = new MachineAssignment(machine);
+    const assignment: MachineAssignment = { free: { ...machine.free }, countByGroup: new Map() };
     this.assignments.set(machine, assignment);
     return assignment;
   }
-
-  private zoneCountsOf(group: string): Map<string, number> {
-    const existing = this.zoneCounts.get(group);
-    if (existing !== undefined) return existing;
-    const counts = new Map<string, number>();
-    this.zoneCounts.set(group, counts);
-    return counts;
-  }
-
-  private addToZoneCount(task: MatchingTask, machine: MatchingMachine, change: number): void {
-    const counts = this.zoneCountsOf(task.group);
-    counts.set(machine.zone, (counts.get(machine.zone) ?? 0) + change);
-  }
 }
 
-/**
- * Task-optimal many-to-one stable matching by deferred acceptance. Each task proposes to the machines of its preference list in
- * order. A machine admits tasks while it has free resources; when it is full, a preferred task displaces the tasks of lowest
- * preference, which propose to their next choice. Tasks differ in size, so a rejected task may fit after a displacement or a
- * departure. It is then reconsidered: otherwise a blocking pair could remain, which prefer each other to their matches.
- * All machines order tasks alike, so each reconsideration settles the most preferred task that it concerns, and the proposals
- * terminate.
- *
- * @returns the machine of each matched task, by task id; unmatched tasks have no entry.
- */
+/** Matches all tasks at once; returns the machine of each matched task, by task id. */
 export function match(
   tasks: readonly MatchingTask[],
   machines: readonly MatchingMachine[],
   rules: MatchRules,
 ): Map<string, MatchingMachine> {
   const matching = new StableMatching(tasks, machines, rules);
-  matching.run();
+  for (const task of matching.tasks) matching.place(task);
   return matching.matches;
 }
--- a/src/scheduling/decisions/service-rematching.ts
+++ b/src/scheduling/decisions/service-rematching.ts
@@ -5,7 +5,7 @@
 import type { TaskPlacement } from '../../domain/task.js';
 import { countTasksPerZone, isAllowedOn } from '../../records/placement-rules.js';
 import { isZoneOpenFor } from './job-matching.js';
-import { match, type MatchingMachine, type MatchingTask } from './matching.js';
+import { type MatchingMachine, type MatchingTask, StableMatching } from './matching.js';
 
 /** A placed service task without a stop request. */
 export interface RunningTask {
@@ -21,14 +21,14 @@
 export interface RematchingInput {
   runningTasks: readonly RunningTask[];
   machines: readonly MachineInfo[];
-  /** Free resources by machine id. `rematchServices` modifies it: it adds the resources of the running tasks. */
+  /** Free resources by machine id. `beginRematching` modifies it: it adds the resources of the running tasks. */
   freeByMachine: ReadonlyMap<string, Resources>;
   /** All placements of a job, by task index. */
   placementsOf: (jobId: string) => Iterable<readonly [number, TaskPlacement]>;
 }
 
-/** The machine that each task would get in a new matching, by task id; unmatched tasks have no entry. */
-export function rematchServices(input: RematchingInput): Map<string, MatchingMachine> {
+/** The new matching, in which the caller places the tasks. */
+export function beginRematching(input: RematchingInput): StableMatching {
   const { runningTasks, machines, freeByMachine } = input;
   // All service tasks of the partition are matched anew, so their resources count as free.
   for (const { machineId, spec } of runningTasks) {
@@ -38,7 +38,7 @@
   const specByJob = new Map(runningTasks.map(({ jobId, spec }) => [jobId, spec]));
   const machineById = new Map(machines.map((machine) => [machine.machineId, machine]));
   const tasksPerZoneElsewhere = countTasksElsewhere(input);
-  return match(runningTasks.map(matchingTaskOf), matchingMachinesOf(machines, freeByMachine), {
+  return new StableMatching(runningTasks.map(matchingTaskOf), matchingMachinesOf(machines, freeByMachine), {
     isAllowed: (jobId, { id }) => {
       const machine = machineById.get(id)!;
       return isAllowedOn(specByJob.get(jobId)!, machine) && !machine.failedJobs.includes(jobId);
--- a/src/scheduling/rescheduler.ts
+++ b/src/scheduling/rescheduler.ts
@@ -5,16 +5,18 @@
 import { taskIdOf } from '../domain/task.js';
 import type { MachineInventory } from '../inventory/machine-inventory.js';
 import type { RoleLeadership } from '../leadership/role-leadership.js';
+import type { Invariants } from '../logging/invariants.js';
 import type { Log } from '../logging/log.js';
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
 import { Priority } from '../net/token-bucket.js';
+import { WorkTurns } from '../net/work-turns.js';
 import type { ClusterState } from '../records/cluster-state.js';
 import { markForStop } from '../records/placement-mutations.js';
 import type { TransactionBatcher } from '../store/transaction-batcher.js';
 import type { Happiness } from './decisions/happiness.js';
 import type { MatchingMachine } from './decisions/matching.js';
-import { rematchServices, type RunningTask } from './decisions/service-rematching.js';
+import { beginRematching, type RunningTask } from './decisions/service-rematching.js';
 import type { PlacementPlanner } from './placement-planner.js';
 
 /** The state that the rescheduler reads, and the planner and transactions that move tasks. */
@@ -28,12 +30,18 @@
   happiness: Happiness;
   clock: Clock;
   random: Random;
+  invariants: Invariants;
   log: Log;
 }
 
 /** Checks the service tasks of each partition that this node leads, and re-matches the partition when some are unhappy. */
 export class Rescheduler {
-  constructor(private readonly dependencies: ReschedulerDependencies) {}
+  private readonly turns: WorkTurns;
+
+  constructor(private readonly dependencies: ReschedulerDependencies) {
+    const { clock, invariants } = dependencies;
+    this.turns = new WorkTurns({ work: 're-matching', clock, invariants });
+  }
 
   /** Checks until the signal aborts. The interval is jittered, so that the controllers don't all re-match at the same time. */
   async run(signal: AbortSignal): Promise<void> {
@@ -41,7 +49,7 @@
     while (!signal.aborted) {
       await clock.sleep(random.jitter(tuning.checkIntervalMs), signal);
       if (signal.aborted || !leadership.hasRecentStoreContact || this.hasUnplacedBacklog()) continue;
-      for (const partition of leadership.ledPartitions()) this.reschedulePartition(partition);
+      for (const partition of leadership.ledPartitions()) await this.reschedulePartition(partition);
     }
   }
 
@@ -58,7 +66,7 @@
     return unplaced > tuning.movesPerRound;
   }
 
-  private reschedulePartition(partition: number): void {
+  private async reschedulePartition(partition: number): Promise<void> {
     const { leadership, inventory, clock, tuning } = this.dependencies;
     const nowMs = clock.now();
     const machines = [...inventory.machines().values()].filter(
@@ -67,7 +75,7 @@
     const runningTasks = this.runningServiceTasks(machines);
     const unhappyTasks = runningTasks.filter(({ taskId }) => this.isUnhappy(taskId, nowMs));
     if (unhappyTasks.length === 0) return;
-    const matches = this.rematch(runningTasks, machines);
+    const matches = await this.rematch(runningTasks, machines);
     const movingJobs = new Set<string>();
     for (const task of unhappyTasks) {
       if (movingJobs.size >= tuning.movesPerRound) return;
@@ -101,17 +109,25 @@
     return value !== undefined && value < tuning.happinessThreshold;
   }
 
-  private rematch(
+  /** Matches in turns of the event loop. What has changed meanwhile is found when a move is committed. */
+  private async rematch(
     runningTasks: readonly RunningTask[],
     machines: readonly MachineInfo[],
-  ): Map<string, MatchingMachine> {
+  ): Promise<Map<string, MatchingMachine>> {
     const { planner, clusterState } = this.dependencies;
-    return rematchServices({
+    this.turns.begin();
+    const matching = beginRematching({
       runningTasks,
       machines,
       freeByMachine: planner.freeResources(machines),
       placementsOf: (jobId) => clusterState.jobs.get(jobId)!.storedPlacements(),
     });
+    for (const task of matching.tasks) {
+      if (this.turns.isOver) await this.turns.next();
+      matching.place(task);
+    }
+    this.turns.end();
+    return matching.matches;
   }
 
   private canMove({ taskId, jobId }: RunningTask, nowMs: number): boolean {
--- a/test/scheduling/rescheduler.test.ts
+++ b/test/scheduling/rescheduler.test.ts
@@ -7,6 +7,7 @@
 import { DEFAULT_TUNING } from '../../src/constants/scheduling.js';
 import type { MachineInventory } from '../../src/inventory/machine-inventory.js';
 import type { RoleLeadership } from '../../src/leadership/role-leadership.js';
+import { Invariants } from '../../src/logging/invariants.js';
 import { Random } from '../../src/net/random.js';
 import type { ClusterState } from '../../src/records/cluster-state.js';
 import { Happiness } from '../../src/scheduling/decisions/happiness.js';
@@ -43,6 +44,7 @@
       happiness: new Happiness(30_000),
       clock,
       random: new Random(1),
+      invariants: new Invariants(noLog),
       log: noLog,
     });
     void rescheduler.run(stop.signal);
