--- a/testing/invariant-checker.ts
+++ b/testing/invariant-checker.ts
@@ -191,6 +191,11 @@
     this.faultsEndedAt = at;
   }
 
+  /** Whether no task of a cancelled job is on a machine. */
+  get areCancelledTasksGone(): boolean {
+    return [...this.observed.runs].every((run) => this.observed.job(run.jobId).cancelledAt === undefined);
+  }
+
   /** Checks for overdue events; to be called about every second, and at the end. */
   checkNow(at: number): void {
     for (const run of this.observed.runs) this.checkStoppedInTime(at, run);
--- a/testing/loopback-cluster.ts
+++ b/testing/loopback-cluster.ts
@@ -2,28 +2,36 @@
  * Real controller processes on the loopback interface, with the fakes of store, cloud and workers served over HTTP. The
  * processes are started by the deploy file's command, and are sent signals to end, stop and continue them.
  */
-import { type ChildProcess, spawn } from 'node:child_process';
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
-import { setTimeout as delay } from 'node:timers/promises';
+import { setMaxListeners } from 'node:events';
 
-import { parse } from 'smol-toml';
-
-import { type Clock, systemClock } from '../src/net/clock.js';
-import { type HttpResponse, NodeHttpClient } from '../src/net/http-client.js';
+import { systemClock } from '../src/net/clock.js';
+import type { HttpResponse } from '../src/net/http-client.js';
+import { Random } from '../src/net/random.js';
+import { ControllerProcesses } from './controller-processes.js';
 import { FakeCloud } from './fake-cloud.js';
 import { FakeGangs } from './fake-gangs.js';
 import { FakeStore } from './fake-store.js';
 import { decodeTransaction, type StoreTransaction } from './fake-store-wire-codec.js';
-import { FakeWorker } from './fake-worker.js';
-import { C8, jobOf, settingsFileOf } from './fixtures.js';
-import { ANSWER_TIMEOUT_MS } from './heartbeat-sender.js';
+import type { FakeWorker } from './fake-worker.js';
+import { C8, jobOf } from './fixtures.js';
 import { InvariantChecker } from './invariant-checker.js';
+import { LinkProxy } from './link-proxy.js';
+import { LoadBalancer } from './load-balancer.js';
+import { unreferencedClock } from './loopback-clock.js';
 import { freeAddress, LoopbackServer } from './loopback-server.js';
+import { LoopbackUser, type LoopbackUsersDependencies } from './loopback-users.js';
+import { LoopbackWorkers } from './loopback-workers.js';
+import { StoreLink } from './store-link.js';
 import { decodeSubmission, type Submission } from './submission-wire-codec.js';
 import type { JobDescription } from './worker-environment.js';
 
+/** Timings of the workers; the defaults are those of the fixtures. */
+export interface LoopbackTimings {
+  heartbeatS: number;
+  leaseS: number;
+  cancelS: number;
+}
+
 /** Configuration of a cluster of processes. */
 export interface LoopbackOptions {
   nodes: number;
@@ -32,159 +40,194 @@
   tuning: string;
   /** Duration of batch tasks, ms. */
   runMs: number;
+  timings?: LoopbackTimings;
+  /** Sockets that each controller may have open. */
+  sockets?: number;
+  /** Seed of the stand-ins' random draws. */
+  seed?: number;
+  /** Whether the rules about placements are checked: with thousands of machines that takes too long. */
+  checksPlacements?: boolean;
 }
 
-interface ControllerProcess {
-  address: string;
-  settingsFile: string;
-  process: ChildProcess | undefined;
-}
-
-/** A clock for the fakes whose waits do not keep the process alive. */
-const unreferencedClock: Clock = {
-  ...systemClock,
-  sleep: async (ms, signal) => {
-    // Waits longer than the maximum delay of a timer are for events that never happen.
-    const waitMs = Math.min(ms, LONGEST_WAIT_MS);
-    await delay(waitMs, undefined, { signal, ref: false }).catch(() => undefined);
-  },
-};
-
-const LONGEST_WAIT_MS = 3_600_000;
-const TICK_MS = 100;
+const DEFAULT_TIMINGS: LoopbackTimings = { heartbeatS: 1, leaseS: 10, cancelS: 36 };
+const DEFAULT_SOCKETS = 700;
+const ZONES = ['a', 'b', 'c'];
+const TEAMS = [{ name: 'red' }];
 const LEASE_EXPIRY_PERIOD_MS = 20;
-const HTTP_SOCKETS = 256;
+const CONDITION_POLL_MS = 2;
+const GANG_WAIT_MS = 30_000;
+const GANG_PEER_MS = 4000;
+const DEFAULT_SEED = 7;
 
 /** Starts and ends the processes, serves the fakes, and checks the rules. */
 export class LoopbackCluster {
   readonly store = new FakeStore(unreferencedClock);
   readonly cloud = new FakeCloud([C8]);
-  readonly checker = new InvariantChecker({ teams: [{ name: 'red' }], machineTypes: [C8], cancelS: 36 });
-  /** The lines that the controllers write to standard error. */
-  readonly logLines: string[] = [];
+  readonly checker: InvariantChecker;
+  readonly random: Random;
+  readonly workers: LoopbackWorkers;
+  /** The users' addresses of the controllers. */
+  readonly addresses: string[] = [];
+  readonly storeLinks: StoreLink[] = [];
+  /** The link from one controller to another, as 'from>to' by index. */
+  readonly peerLinks = new Map<string, LinkProxy>();
   /** Called with each transaction that the store has executed. */
   onTransaction: (transaction: StoreTransaction) => void = () => undefined;
-  private readonly folder = mkdtempSync(join(tmpdir(), 'dewlatch-loopback-'));
-  private readonly controllers: ControllerProcess[] = [];
-  private readonly workers: FakeWorker[] = [];
-  private readonly servers: LoopbackServer[] = [];
-  private readonly timers: NodeJS.Timeout[] = [];
-  private readonly http = new NodeHttpClient(HTTP_SOCKETS);
   private readonly jobs = new Map<string, JobDescription>();
-  private submitted = 0;
+  private readonly stopped = new AbortController();
+  private startedProcesses: ControllerProcesses | undefined;
+  private startedBalancer: LoadBalancer | undefined;
+  private cloudServer: LoopbackServer | undefined;
+  private expiry: NodeJS.Timeout | undefined;
+  private submittedCount = 0;
 
-  constructor(private readonly options: LoopbackOptions) {}
+  constructor(private readonly options: LoopbackOptions) {
+    const { leaseS, heartbeatS, cancelS } = this.timings;
+    setMaxListeners(0, this.stopped.signal);
+    this.random = new Random(options.seed ?? DEFAULT_SEED);
+    this.checker = new InvariantChecker({ teams: TEAMS, machineTypes: [C8], cancelS });
+    this.workers = new LoopbackWorkers({
+      count: options.machines,
+      zones: ZONES,
+      machineType: C8,
+      heartbeatMs: heartbeatS * 1000,
+      runMs: options.runMs,
+      environment: {
+        leaseS,
+        describe: (jobId) => this.jobs.get(jobId),
+        gangs: new FakeGangs(unreferencedClock, GANG_WAIT_MS, GANG_PEER_MS),
+        results: new Set<string>(),
+      },
+      clock: unreferencedClock,
+      random: this.random,
+    });
+  }
 
-  async start(): Promise<void> {
-    const storeAddress = await this.serve((method, path, body) => this.handleStore(method, path, body));
-    const cloudAddress = await this.serve((method, path, body) => this.cloud.handle(method, path, body));
-    await this.startWorkers();
-    await this.startControllers(storeAddress, cloudAddress);
-    const names = this.controllers.map((_, index) => `n${index}`);
-    this.timers.push(
-      setInterval(() => this.store.expireLeases(), LEASE_EXPIRY_PERIOD_MS),
-      setInterval(() => this.sendHeartbeats(names), TICK_MS * 5),
-    );
+  private get timings(): LoopbackTimings {
+    return this.options.timings ?? DEFAULT_TIMINGS;
   }
 
-  private async serve(handler: ConstructorParameters<typeof LoopbackServer>[0]): Promise<string> {
-    const server = new LoopbackServer(handler);
-    this.servers.push(server);
-    return server.listen();
+  get signal(): AbortSignal {
+    return this.stopped.signal;
   }
 
-  private async handleStore(method: string, path: string, body: unknown): Promise<HttpResponse> {
-    const reply = await this.store.handle(method, path, body);
-    if (path === '/txn' && reply.status === 200) {
-      this.onTransaction(decodeTransaction(body));
-    }
-    return reply;
+  get processes(): ControllerProcesses {
+    return this.startedProcesses!;
   }
 
-  private async startWorkers(): Promise<void> {
-    const environment = {
-      leaseS: 10,
-      describe: (jobId: string) => this.jobs.get(jobId),
-      gangs: new FakeGangs(unreferencedClock, 30_000, 4000),
-      results: new Set<string>(),
-    };
-    for (let n = 0; n < this.options.machines; n++) {
-      const machineId = `i-${String(n).padStart(6, '0')}`;
-      const zone = ['a', 'b', 'c'][n % 3]!;
-      const { runMs } = this.options;
-      const worker = new FakeWorker(unreferencedClock, { machineId, zone, runMs }, C8, environment);
-      worker.endpoint = await this.serve((_method, path, body) => worker.handle(path, body));
-      this.watchWorker(worker, machineId, zone);
-      this.workers.push(worker);
-    }
+  get balancer(): LoadBalancer {
+    return this.startedBalancer!;
+  }
+
+  async start(): Promise<void> {
+    await this.workers.start();
+    this.cloud.onReturn = (machineId) => this.removeMachine(machineId);
+    for (const { worker, machineId } of this.workers.workers) this.addMachine(worker, machineId);
+    this.cloudServer = new LoopbackServer((method, path, body) => this.cloud.handle(method, path, body));
+    await this.startControllers(await this.cloudServer.listen());
+    this.workers.beginHeartbeats(new Map(this.addresses.map((address, index) => [`n${index}`, address])));
+    this.startedBalancer = new LoadBalancer(this.addresses, unreferencedClock);
+    void this.startedBalancer.run(this.stopped.signal);
+    this.expiry = setInterval(() => this.store.expireLeases(), LEASE_EXPIRY_PERIOD_MS);
   }
 
-  private watchWorker(worker: FakeWorker, machineId: string, zone: string): void {
+  private addMachine(worker: FakeWorker, machineId: string): void {
+    const machine = { machineType: 'c8', zone: worker.options.zone ?? 'a', isSpot: false };
+    this.cloud.machines.set(machineId, { ...machine, state: 'running', ageS: 100 });
+    if (this.options.checksPlacements === false) return;
     const now = () => systemClock.now();
-    this.checker.machineUp(machineId, { machineType: 'c8', zone, isSpot: false });
-    this.cloud.machines.set(machineId, { machineType: 'c8', zone, isSpot: false, state: 'running', ageS: 100 });
+    this.checker.machineUp(machineId, machine);
     worker.onStart = (taskId, commandedAt) => this.checker.taskStarted(now(), machineId, taskId, commandedAt);
     worker.onEnd = (taskId, exitReason) => this.checker.taskEnded(now(), machineId, taskId, exitReason);
     worker.onLaunch = (taskId, attempt, fencingToken) =>
       this.checker.placements.launched(now(), { machineId, taskId, attempt, fencingToken });
   }
 
-  private async startControllers(state: string, cloud: string): Promise<void> {
-    const { nodes } = this.options;
-    const addresses = [];
-    for (let n = 0; n < nodes; n++) addresses.push({ bind: await freeAddress(), mesh: await freeAddress() });
-    for (const [n, { bind, mesh }] of addresses.entries()) {
-      const settings = settingsFileOf(n, nodes, { teams: [{ name: 'red' }] });
-      const peers = addresses.map((each, index) => ({ node: `n${index}`, location: 'a', address: each.mesh }));
-      const own = { ...settings, bind, mesh_addr: mesh, peers: peers.filter((_, index) => index !== n) };
-      const settingsFile = join(this.folder, `n${n}.json`);
-      writeFileSync(settingsFile, JSON.stringify({ ...own, outside: { cloud, state } }));
-      this.controllers.push({ address: bind, settingsFile, process: undefined });
-      this.startController(n);
+  /** By the time at which the cloud answers, a returned machine and everything on it are gone. */
+  private removeMachine(machineId: string): void {
+    this.workers.remove(machineId);
+    this.checker.machineGone(systemClock.now(), machineId);
+  }
+
+  private async startControllers(cloud: string): Promise<void> {
+    const { nodes, tuning, sockets = DEFAULT_SOCKETS } = this.options;
+    const meshAddresses: string[] = [];
+    for (let n = 0; n < nodes; n++) {
+      this.addresses.push(await freeAddress());
+      meshAddresses.push(await freeAddress());
     }
+    const controllers = [];
+    for (const [n, mesh] of meshAddresses.entries()) {
+      const store = await this.addStoreLink();
+      const peers = await this.addPeerLinks(n, meshAddresses);
+      controllers.push({ bind: this.addresses[n]!, mesh, store, cloud, peers });
+    }
+    const { heartbeatS, leaseS, cancelS } = this.timings;
+    const workers = { report_s: heartbeatS, lease_s: leaseS, gang_wait_s: 30, gang_peer_s: 4, cancel_s: cancelS };
+    const limits = { cpu: 1, ram_mb: 1500, sockets };
+    const state = { rps: 2000, write_rps: 400, value_kb: 32, txn_ops: 48 };
+    const cluster = { workers, limits, state };
+    this.startedProcesses = new ControllerProcesses({ tuning, teams: TEAMS, cluster }, controllers);
+    this.startedProcesses.startAll();
+  }
+
+  private addStoreLink(): Promise<string> {
+    const link: StoreLink = new StoreLink(
+      { handle: (method, path, body) => this.handleStore(method, path, body) },
+      unreferencedClock,
+    );
+    this.storeLinks.push(link);
+    return link.listen();
+  }
+
+  private async handleStore(method: string, path: string, body: unknown): Promise<HttpResponse> {
+    const reply = await this.store.handle(method, path, body);
+    if (path === '/txn' && reply.status === 200) this.onTransaction(decodeTransaction(body));
+    return reply;
+  }
+
+  private async addPeerLinks(from: number, meshAddresses: readonly string[]): Promise<string[]> {
+    const addresses: string[] = [];
+    for (const [to, mesh] of meshAddresses.entries()) {
+      const link = new LinkProxy(mesh);
+      if (from !== to) this.peerLinks.set(`${from}>${to}`, link);
+      addresses.push(from === to ? mesh : await link.listen());
+    }
+    return addresses;
   }
 
   /** Starts the controller with the deploy file's command. */
   startController(index: number): void {
-    const controller = this.controllers[index]!;
-    const deployment = parse(readFileSync('deploy/service.toml', 'utf8')) as { run: string };
-    const [command, ...flags] = deployment.run.replace('deploy/tuning.toml', this.options.tuning).split(' ');
-    const child = spawn(command!, [...flags, controller.settingsFile], { stdio: ['ignore', 'ignore', 'pipe'] });
-    child.stderr.on('data', (chunk: Buffer) => this.logLines.push(...chunk.toString('utf8').trim().split('\n')));
-    controller.process = child;
+    this.processes.start(index);
   }
 
   /** Sends a signal to the controller's process. */
-  signal(index: number, signal: 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGTERM'): void {
-    this.controllers[index]?.process?.kill(signal);
-  }
-
-  private sendHeartbeats(names: readonly string[]): void {
-    for (const worker of this.workers) {
-      void worker.sendHeartbeat([...names], (node, heartbeat) =>
-        this.http
-          .call(this.controllers[Number(node.slice(1))]!.address, 'POST', '/hello', heartbeat, {
-            timeoutMs: ANSWER_TIMEOUT_MS,
-          })
-          .catch(() => undefined),
-      );
-    }
+  signalController(index: number, signal: Parameters<ControllerProcesses['signal']>[1]): void {
+    this.processes.signal(index, signal);
   }
 
-  /** A user submits a job, trying one node after the other. */
-  async submit(fields: Partial<Submission>): Promise<boolean> {
-    const jobId = `j-${String(this.submitted++).padStart(6, '0')}`;
+  /** Records a new job, whose id is the next in order, and returns its submission. */
+  createJob(fields: Partial<Submission>): { jobId: string; body: object } {
+    const jobId = `j-${String(this.submittedCount++).padStart(6, '0')}`;
     const body = jobOf({ id: jobId, ...fields });
     this.jobs.set(jobId, decodeSubmission(body));
     this.checker.submitted(body);
-    for (let attempt = 0; attempt < this.controllers.length * 2; attempt++) {
-      const { address } = this.controllers[(this.submitted + attempt) % this.controllers.length]!;
-      const reply = await this.http
-        .call(address, 'POST', '/v1/jobs', body, { timeoutMs: 1000, connectMs: 500 })
-        .catch(() => undefined);
-      if (reply?.status === 201 || reply?.status === 200) return true;
-    }
-    return false;
+    return { jobId, body };
+  }
+
+  createUser(jobId: string, fields: Partial<LoopbackUsersDependencies> = {}): LoopbackUser {
+    const { addresses, balancer, random, checker } = this;
+    const onAnswer: LoopbackUsersDependencies['onAnswer'] = (answer) => checker.answerReceived(answer);
+    return new LoopbackUser(jobId, { addresses, balancer, clock: unreferencedClock, random, onAnswer, ...fields });
+  }
+
+  /** A user submits a job and does not ask about it. */
+  async submit(fields: Partial<Submission>): Promise<boolean> {
+    const { jobId, body } = this.createJob(fields);
+    const user = this.createUser(jobId);
+    await user.submit(body, this.signal);
+    user.close();
+    return user.isAccepted;
   }
 
   claimOf(role: string): { node: number; fencingToken: number } | undefined {
@@ -198,21 +241,18 @@
     const end = systemClock.now() + limitMs;
     while (!condition()) {
       if (systemClock.now() > end) throw new Error(`${description}: not within ${limitMs} ms`);
-      await systemClock.sleep(2);
+      await systemClock.sleep(CONDITION_POLL_MS);
     }
   }
 
   /** Ends all processes and servers, and describes the violated rules. */
   stop(): string[] {
-    for (const timer of this.timers) clearInterval(timer);
-    for (const controller of this.controllers) {
-      controller.process?.kill('SIGCONT');
-      controller.process?.kill('SIGKILL');
-    }
-    for (const worker of this.workers) worker.terminate();
-    for (const server of this.servers) server.close();
-    this.http.close();
-    rmSync(this.folder, { recursive: true, force: true });
+    this.stopped.abort();
+    clearInterval(this.expiry);
+    this.startedProcesses?.stop();
+    this.workers.stop();
+    this.cloudServer?.close();
+    for (const link of [...this.storeLinks, ...this.peerLinks.values()]) link.close();
     return this.checker.violations.map(({ rule, details }) => `${rule}: ${details}`);
   }
 }
--- a/testing/loopback-server.ts
+++ b/testing/loopback-server.ts
@@ -6,7 +6,8 @@
 
 export type LoopbackHandler = (method: string, path: string, body: unknown) => Promise<HttpResponse> | HttpResponse;
 
-async function readBody(request: IncomingMessage): Promise<unknown> {
+/** Reads a request's JSON body; undefined if it is empty. */
+export async function readJsonBody(request: IncomingMessage): Promise<unknown> {
   const chunks: Buffer[] = [];
   for await (const chunk of request) chunks.push(chunk as Buffer);
   const text = Buffer.concat(chunks).toString('utf8');
@@ -18,7 +19,7 @@
 
   constructor(handler: LoopbackHandler) {
     this.server = createServer((request, response) => {
-      void readBody(request)
+      void readJsonBody(request)
         .then((body) => handler(request.method ?? 'GET', request.url ?? '/', body))
         .then(({ status, body }) => {
           response.writeHead(status, { 'Content-Type': 'application/json' });
@@ -41,10 +42,24 @@
   }
 }
 
-/** An address on the loopback interface whose port is free at the moment. */
+/** Ports below those that the system gives to connections, in a range of this process's own. */
+const FIRST_PORT = 12_000;
+const PORTS_PER_PROCESS = 64;
+const PROCESS_RANGES = 300;
+let nextPort = FIRST_PORT + (process.pid % PROCESS_RANGES) * PORTS_PER_PROCESS;
+
+/** An address on the loopback interface whose port is free, and that no other address of this process has. */
 export async function freeAddress(): Promise<string> {
-  const server = new LoopbackServer(() => ({ status: 404, body: {} }));
-  const address = await server.listen();
-  server.close();
-  return address;
+  for (;;) {
+    const port = nextPort++;
+    if (await isFree(port)) return `127.0.0.1:${port}`;
+  }
+}
+
+function isFree(port: number): Promise<boolean> {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
 }
--- a/testing/loopback-takeover.ts
+++ b/testing/loopback-takeover.ts
@@ -30,7 +30,7 @@
     if (isNew && operations.length > 0) decidedAt ??= systemClock.now();
   };
   const lostAt = systemClock.now();
-  cluster.signal(formerClaim.node, SIGNALS[loss]);
+  cluster.signalController(formerClaim.node, SIGNALS[loss]);
   const isTakenOver = () => {
     const claim = cluster.claimOf('leader');
     return claim !== undefined && claim.node !== formerClaim.node;
@@ -40,7 +40,7 @@
   await cluster.until(() => decidedAt !== undefined, 'a decision of the new leader');
   if (loss === 'freeze') {
     await systemClock.sleep(FREEZE_AFTER_TAKEOVER_MS);
-    cluster.signal(formerClaim.node, 'SIGCONT');
+    cluster.signalController(formerClaim.node, 'SIGCONT');
   } else cluster.startController(formerClaim.node);
   const ownRole = `part-${formerClaim.node}`;
   await cluster.until(() => cluster.claimOf(ownRole)?.node === formerClaim.node, 'the former leader to be back');
