Workers leave connections to users and health checks when there are more than sockets

What callers saw: with 4,000 workers and 2,374 sockets a controller, of which 1,424 serve users and workers, users' connections were closed at once for two minutes after the end of a fault and longer.

Cause: users, health checks and workers share one limit of connections, and idle ones are kept; workers without a connection try again each second and take each that is free.

Change: beyond 85 % of the limit (WORKER_CONNECTION_SHARE) a worker gets its answer, which renews its lease, with 'Connection: close', and connects anew for its next heartbeat.

--- a/src/api/api-server.ts
+++ b/src/api/api-server.ts
@@ -2,7 +2,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 
-import { KEEP_ALIVE_MS, MAX_OPEN_REQUESTS, REQUEST_TIMEOUT_MS, RETRY_AFTER_S } from '../constants/api.js';
+import {
+  KEEP_ALIVE_MS,
+  MAX_OPEN_REQUESTS,
+  REQUEST_TIMEOUT_MS,
+  RETRY_AFTER_S,
+  WORKER_CONNECTION_SHARE,
+} from '../constants/api.js';
 import type { Log } from '../logging/log.js';
 import type { RefusalLog } from '../logging/refusal-log.js';
 import type { JsonResponse } from '../net/json-response.js';
@@ -33,6 +39,7 @@
   private openUserRequests = 0;
   private readonly connections = new ConnectionCounts();
   private droppedConnections = 0;
+  private readonly maxWorkerConnections: number;
 
   constructor(
     handlers: Handlers,
@@ -41,6 +48,7 @@
     maxSockets: number,
   ) {
     this.routes = new Routes(handlers);
+    this.maxWorkerConnections = Math.floor(maxSockets * WORKER_CONNECTION_SHARE);
     this.server = createServer(
       { requestTimeout: REQUEST_TIMEOUT_MS, headersTimeout: REQUEST_TIMEOUT_MS },
       (request, response) => this.serve(request, response),
@@ -88,6 +96,8 @@
       return;
     }
     this.connections.used(request.socket, route.connectionKind);
+    const isWorker = route.connectionKind === 'worker';
+    if (isWorker && this.connections.workerCount > this.maxWorkerConnections) response.shouldKeepAlive = false;
     const refusal = this.refusalFor(route, request.method);
     if (refusal !== undefined) {
       sendWithoutReading(request, response, refusal);
--- a/src/api/connection-counts.ts
+++ b/src/api/connection-counts.ts
@@ -32,6 +32,11 @@
     this.counts[kind]--;
   }
 
+  /** The number of open connections of workers. */
+  get workerCount(): number {
+    return this.counts.worker;
+  }
+
   /** The number of open connections of each kind. */
   current(): Readonly<Record<ConnectionKind, number>> {
     return { ...this.counts };
--- a/src/constants/api.ts
+++ b/src/constants/api.ts
@@ -39,3 +39,9 @@
  */
 export const HTTP_SERVER_SOCKET_SHARE = 0.6;
 export const HTTP_CLIENT_SOCKET_SHARE = 0.25;
+
+/**
+ * Share of the connections from users and workers that workers may keep open: a worker beyond it gets its answer and then
+ * reconnects for its next heartbeat, and users and health checks find room.
+ */
+export const WORKER_CONNECTION_SHARE = 0.85;
