Calls to the store never wait for sockets that idle or hanging workers hold

What callers saw: with 4,000 workers and 2,374 sockets, two controllers that had been killed for 40 s answered no query for two minutes after they were back.

Cause: calls to the store, the cloud and workers share one agent with a limit of sockets. Node's agent does not close idle sockets to other addresses when it is at its limit, so after commands to as many workers as sockets (each new leader announces its token to all of them) every further call waits until workers close idle connections; calls to hanging workers hold the rest. The store's calls time out before they have a socket: the replica ages, the store lease ends, /up and queries are refused.

Change: a quarter of the outgoing sockets is for the store and the cloud alone. A call to another address at the limit first closes an idle socket.

--- a/src/main.ts
+++ b/src/main.ts
@@ -80,7 +80,11 @@
   }
   const log = createLog(settings.node, process.env.LOG_LEVEL);
   logUnhandledErrors(log);
-  const http = new NodeHttpClient(Math.floor(settings.cluster.sockets * HTTP_CLIENT_SOCKET_SHARE));
+  const { storeAddress, cloudAddress, cluster } = settings;
+  const http = new NodeHttpClient({
+    maxSockets: Math.floor(cluster.sockets * HTTP_CLIENT_SOCKET_SHARE),
+    essentialAddresses: [storeAddress, cloudAddress],
+  });
   const controller = new Controller({ settings, tuning, http, clock: systemClock, log });
   const stop = stopSignal(() => controller.handOver());
   controller.run(stop).then(
--- a/src/net/http-client.ts
+++ b/src/net/http-client.ts
@@ -53,28 +53,56 @@
 /** Maximum of connections to one address. */
 const MAX_SOCKETS_PER_ADDRESS = 64;
 
+/** The sockets of a `NodeHttpClient`. */
+export interface NodeHttpClientOptions {
+  /** Limit for all addresses together. */
+  maxSockets: number;
+  /** Addresses, such as the store's, whose calls never wait for sockets that calls to other addresses use. */
+  essentialAddresses: readonly string[];
+}
+
+/** Share of the sockets that only essential addresses use. */
+const ESSENTIAL_SOCKET_SHARE = 0.25;
+
+const createAgent = (maxTotalSockets: number): Agent =>
+  new Agent({
+    keepAlive: true,
+    maxSockets: MAX_SOCKETS_PER_ADDRESS,
+    maxTotalSockets,
+    maxFreeSockets: MAX_FREE_SOCKETS,
+  });
+
 /** An HttpClient on Node's `http` module, with keep-alive connections and a limit on sockets. */
 export class NodeHttpClient implements HttpClient {
+  private readonly essentialAddresses: ReadonlySet<string>;
+  private readonly essentialAgent: Agent;
   private readonly agent: Agent;
 
-  /** `maxSockets`: limit for all addresses together. */
-  constructor(maxSockets: number) {
-    this.agent = new Agent({
-      keepAlive: true,
-      maxSockets: MAX_SOCKETS_PER_ADDRESS,
-      maxTotalSockets: maxSockets,
-      maxFreeSockets: MAX_FREE_SOCKETS,
-    });
+  constructor({ maxSockets, essentialAddresses }: NodeHttpClientOptions) {
+    const essentialSockets = Math.ceil(maxSockets * ESSENTIAL_SOCKET_SHARE);
+    this.essentialAddresses = new Set(essentialAddresses);
+    this.essentialAgent = createAgent(essentialSockets);
+    this.agent = createAgent(maxSockets - essentialSockets);
   }
 
   /** Closes all connections. */
   close(): void {
+    this.essentialAgent.destroy();
     this.agent.destroy();
   }
 
   connectionStatus(): ConnectionStatus {
-    const { sockets, freeSockets, requests } = this.agent;
-    return { open: countAll(sockets) + countAll(freeSockets), waitingCalls: countAll(requests) };
+    const agents = [this.essentialAgent, this.agent];
+    return {
+      open: agents.reduce((sum, agent) => sum + openSocketsOf(agent), 0),
+      waitingCalls: agents.reduce((sum, { requests }) => sum + countAll(requests), 0),
+    };
+  }
+
+  private agentFor(address: string): Agent {
+    if (this.essentialAddresses.has(address)) return this.essentialAgent;
+    closeIdleSocketIfFull(this.agent);
+    return this.agent;
   }
 
   // eslint-disable-next-line max-params -- every client and test double implements this signature, and each call needs all five
@@ -82,7 +110,7 @@
     const payload = body === undefined ? undefined : JSON.stringify(body);
     const headers = payload === undefined ? {} : jsonHeaders(payload);
     return new Promise<HttpResponse>((resolve, reject) => {
-      const clientRequest = request({ agent: this.agent, ...parseAddress(address), method, path, headers });
+      const clientRequest = request({ agent: this.agentFor(address), ...parseAddress(address), method, path, headers });
       const description = `${method} ${address}${path}`;
       new PendingCall({ request: clientRequest, description, options, resolve, reject }).start(payload);
     });
@@ -92,6 +120,15 @@
 const countAll = (listsByAddress: NodeJS.ReadOnlyDict<readonly unknown[]>): number =>
   Object.values(listsByAddress).reduce((sum, list) => sum + (list?.length ?? 0), 0);
 
+const openSocketsOf = ({ sockets, freeSockets }: Agent): number => countAll(sockets) + countAll(freeSockets);
+
+/** An agent at its limit does not close idle sockets to other addresses by itself: the call would wait for one to be closed. */
+function closeIdleSocketIfFull(agent: Agent): void {
+  if (openSocketsOf(agent) < agent.maxTotalSockets) return;
+  const [idleSockets] = Object.values(agent.freeSockets);
+  idleSockets?.[0]?.destroy();
+}
+
 const jsonHeaders = (payload: string): Record<string, string | number> => ({
   'Content-Type': 'application/json',
   'Content-Length': Buffer.byteLength(payload),
