--- a/testing/loopback-workers.ts
+++ b/testing/loopback-workers.ts
@@ -1,4 +1,5 @@
 /** Many fake workers on the loopback interface behind one server; each has an address and a connection of its own. */
+import { setMaxListeners } from 'node:events';
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
@@ -92,6 +93,7 @@
   private readonly stopped = new AbortController();
 
   constructor(private readonly options: LoopbackWorkersOptions) {
+    setMaxListeners(0, this.stopped.signal);
     this.server = createServer((request, response) => {
       const target = this.workersByAddress.get(request.socket.localAddress ?? '');
       // Without an answer the controller's call ends by its own time limit, as with a machine that can't be reached.
--- a/testing/soak-load.ts
+++ b/testing/soak-load.ts
@@ -1,4 +1,6 @@
 /** The users of a soak run: they submit, cancel, ask and repeat at all controllers throughout. */
+import { setMaxListeners } from 'node:events';
+
 import type { Clock } from '../src/net/clock.js';
 import type { UserAnswer } from './answer-checker.js';
 import type { LoopbackCluster } from './loopback-cluster.js';
@@ -34,7 +36,9 @@
   constructor(
     private readonly cluster: LoopbackCluster,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    setMaxListeners(0, this.submitting.signal);
+  }
 
   /** Submits jobs until `endSubmissions`. */
   async submitJobs(): Promise<void> {
