Evict and rent for nothing that a plan in progress has placed

Cause, by reading (not traced): an action on stale knowledge that the turns had brought in.

Result: the tests of scheduling and of long plans pass.

--- a/src/scheduling/placement-planner.ts
+++ b/src/scheduling/placement-planner.ts
@@ -170,6 +170,8 @@
     const round = new PlacementRound(this.roundDependencies, ledRoles);
     for (const queuedJob of queuedJobs) {
       if (turns.isOver) {
+        // The list of the last plan holds tasks that this one has placed: nothing must be evicted or rented for them.
+        this.unplaced = [];
         await turns.next();
         if (!this.dependencies.leadership.hasRecentStoreContact) return;
       }
