--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -80,7 +80,10 @@
   });
 }
 
-/** Three controllers with their surroundings. `storeHandler` may alter how the store serves one controller. */
+/**
+ * Controllers with their surroundings. `storeHandler` may alter how the store serves one controller; `onCloudCall` is told
+ * each call to the cloud before it is carried out.
+ */
 export class Deployment {
   store = new FakeStore(unreferencedClock);
   addresses = [];
@@ -89,22 +92,11 @@
   descriptions = new Map();
 
   /** `spotMachines`: so many of the first machines are spot machines. */
-  constructor({
-    machineType,
-    machines,
-    spotMachines = 0,
-    zones,
-    teams,
-    cluster,
-    runMs,
-    seed = 1,
-    storeHandler,
-    record,
-  }) {
-    Object.assign(this, { machineType, spotMachines, teams, cluster, storeHandler, record });
+  constructor({ machineType, machines, spotMachines = 0, zones, teams, cluster, runMs, seed = 1, record, ...options }) {
+    Object.assign(this, { machineType, spotMachines, teams, cluster, record, ...options });
     deployments.add(this);
     this.random = new Random(seed);
-    this.cloud = new FakeCloud([machineType]);
+    this.cloud = new FakeCloud([machineType, ...(options.furtherMachineTypes ?? [])]);
     const limits = cluster.state;
     this.store.limits = {
       valueBytes: limits.value_kb * 1024,
@@ -144,9 +136,6 @@
       worker.onStart = (taskId) => this.record.add('task started', taskId, machineId);
       worker.onEnd = (taskId, reason) => this.record.add('task ended', taskId, machineId, reason);
     }
-    const cloudServer = new LoopbackServer((method, path, body) => this.cloud.handle(method, path, body));
-    this.servers.push(cloudServer);
-    const cloud = await cloudServer.listen();
     const mesh = [];
     for (let n = 0; n < nodes; n++) {
       this.addresses.push(await freeAddress());
@@ -163,10 +152,13 @@
         peers.push(to === n ? mesh[to] : await link.listen());
       }
       const store = await storeServer.listen();
+      const cloudServer = new LoopbackServer((method, path, body) => this.handleCloud(n, method, path, body));
+      this.servers.push(cloudServer);
+      const cloud = await cloudServer.listen();
       controllers.push({ bind: this.addresses[n], mesh: mesh[n], store, cloud, peers });
     }
-    const { teams, cluster } = this;
-    this.processes = new ControllerProcesses({ tuning: 'deploy/tuning.toml', teams, cluster }, controllers);
+    const { teams, cluster, logLevel } = this;
+    this.processes = new ControllerProcesses({ tuning: 'deploy/tuning.toml', teams, cluster, logLevel }, controllers);
     this.processes.startAll();
     this.workers.beginHeartbeats(new Map(this.addresses.map((address, n) => [`n${n}`, address])));
     this.expiry = setInterval(() => this.store.expireLeases(), LEASE_EXPIRY_PERIOD_MS);
@@ -178,6 +170,11 @@
     return this.storeHandler === undefined ? execute() : this.storeHandler({ node, method, path, body, execute });
   }
 
+  handleCloud(node, method, path, body) {
+    this.onCloudCall?.(node, method, path, body);
+    return this.cloud.handle(method, path, body);
+  }
+
   /** Waits until all controllers are healthy and each role is led. */
   async untilHealthy() {
     const endsAt = now() + START_LIMIT_MS;
