--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -117,8 +117,6 @@
     });
     await Promise.all(players);
     record.add('rounds', round, 'answers lost', lost);
-    const [exit] = deployment.processes.unexpectedExits;
-    if (exit !== undefined) throw new Error(`node ${exit.node} ended: ${exit.reason}`);
   } finally {
     deployment.stop();
   }
--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -27,6 +27,8 @@
 
 /** The deployments of this process, which end with it. */
 const deployments = new Set();
+/** The controllers that ended without having been told to: then the case says nothing about its rule. */
+const unexpectedExits = [];
 
 /** Keeps what was sent, answered and run, and writes it to the case's record. */
 export class Record {
@@ -195,6 +197,7 @@
   stop() {
     if (!deployments.delete(this)) return;
     clearInterval(this.expiry);
+    unexpectedExits.push(...(this.processes?.unexpectedExits ?? []));
     this.processes?.stop();
     this.workers.stop();
     for (const server of this.servers) server.close();
@@ -216,6 +219,8 @@
   setTimeout(() => finish(2, 'the case could not run: not in time'), RUN_LIMIT_MS);
   try {
     const broken = await play(record);
+    const [exit] = unexpectedExits;
+    if (exit !== undefined) throw new Error(`node ${exit.node} ended by itself: ${exit.reason}`);
     for (const line of broken) record.add('BROKEN', line);
     if (broken.length === 0) finish(0, 'the rule held');
     else finish(1, `the rule was broken:\n${broken.join('\n')}`);
