Log the revisions on which an answer to a query is based, and those of cancellations

Change: 'query answered' (debug) has the time of the decision, the revision up to which the replica was complete, and the revision at which the store confirmed the comparison; 'job cancelled' has its revision.

--- a/src/api/job-cancellation.ts
+++ b/src/api/job-cancellation.ts
@@ -43,7 +43,7 @@
         timeoutMs: deadlineMs - clock.now(),
       });
       if (outcome.kind === 'done') {
-        log.info({ jobId }, 'job cancelled');
+        log.info({ jobId, revision: outcome.revision }, 'job cancelled');
         return { kind: 'ended', job: { jobId, state: 'cancelled' } };
       }
       if (outcome.kind !== 'void') break;
--- a/src/api/job-lookup.ts
+++ b/src/api/job-lookup.ts
@@ -3,6 +3,7 @@
 import { REPLICA_FRESH_MS } from '../constants/leadership.js';
 import { QUEUED_REPLICA_AGE_SHARE } from '../constants/records.js';
 import type { DependencyStates } from '../jobs/dependency-states.js';
+import type { Log } from '../logging/log.js';
 import type { RefusalLog } from '../logging/refusal-log.js';
 import type { Clock } from '../net/clock.js';
 import { Priority } from '../net/token-bucket.js';
@@ -63,6 +64,7 @@
   limits: TransactionLimits;
   clock: Clock;
   refusals: RefusalLog;
+  log: Log;
   /** ms within which a cancellation must have taken effect. */
   cancelDeadlineMs: number;
 }
@@ -151,7 +153,7 @@
   }
 
   private async resolveBatch(batch: readonly PendingLookup[]): Promise<void> {
-    const { client, clock, states } = this.dependencies;
+    const { client, clock, states, replica, log } = this.dependencies;
     let unresolved = batch;
     let reason: UnavailableReason = 'records_changed';
     for (let attempt = 0; attempt < MAX_POLL_ATTEMPTS && unresolved.length > 0; attempt++) {
@@ -163,9 +165,17 @@
       unresolved = unresolved.filter((lookup) => nowMs <= lookup.deadlineMs);
       // The results are determined before the comparison, so that it confirms exactly what is reported.
       const results = new Map(unresolved.map(({ jobId }) => [jobId, this.unconfirmedResult(jobId)]));
+      const decision = { decidedAtMs: Math.round(nowMs), replicaRevision: replica.revision };
       const result = await client.transact(this.conditionsFor(unresolved), [], Priority.record);
       if (result.kind === 'done') {
-        for (const lookup of unresolved) this.complete(lookup, results.get(lookup.jobId)!);
+        for (const lookup of unresolved) {
+          const { jobId } = lookup;
+          log.debug(
+            { jobId, ...decision, confirmedRevision: result.revision, ...results.get(jobId) },
+            'query answered',
+          );
+          this.complete(lookup, results.get(jobId)!);
+        }
         return;
       }
       if (result.kind !== 'conflict') {
