Confirm the state of a waiting job by the whole replica, not by its own records alone

Cause: the state of a waiting job follows from the records of all jobs that it depends on, at any depth. The comparison in the store covered only its own two records, which the cancellation of another job does not change; the others could be up to half of cancel_s old.

Change: such a job is called queued only if the replica is complete as of the query. One request (watch without waiting) does that for all lookups of a quarter of a second, whatever the number of dependencies and the limits of a transaction; it takes the place of the comparison for the live jobs among them. States that can't change any more are answered from memory. A lookup that is undecided after 1.8 s gets 503 (it got no answer). A submission brings the replica up to date before it reads unknown dependencies one by one, in bounded time, and is answered as withdrawn if that is known by the time it is recorded; one of a job with a record here is a lookup. Reads of all records are shared.

Why it works: cancellations are final, so a job that is not cancelled in a state of the store later than the arrival of the query had not been called cancelled before it.

--- a/src/api/job-acceptance.ts
+++ b/src/api/job-acceptance.ts
@@ -24,8 +24,8 @@
 
 /** The result of an attempt to accept a job. */
 export type AcceptanceOutcome =
-  /** The job is recorded; it is `cancelled` from the start if a job that it depends on is cancelled. */
-  | { kind: 'accepted'; state: JobRecord['state'] }
+  /** The job is recorded, as cancelled from the start if a job that it depends on is cancelled. */
+  | { kind: 'accepted' }
   /** The store has a record of the job: it was submitted before. */
   | { kind: 'known' }
   /** The job was not recorded in time, or it is unknown whether it was. */
@@ -54,7 +54,7 @@
     if (outcome.kind === 'void') return { kind: 'known' };
     if (outcome.kind !== 'done') return { kind: 'unavailable' };
     this.logAcceptance(spec, dependencies, state);
-    return { kind: 'accepted', state };
+    return { kind: 'accepted' };
   }
 
   /**
--- a/src/api/job-admission.ts
+++ b/src/api/job-admission.ts
@@ -1,10 +1,12 @@
 /** Decides whether a well-formed submission is admitted. */
-import { MAX_RETRY_AFTER_S } from '../constants/api.js';
+import { MAX_RETRY_AFTER_S, SUBMIT_DEADLINE_MS } from '../constants/api.js';
+import { SUBMISSION_REPLICA_AGE_SHARE } from '../constants/records.js';
 import type { JobSpec } from '../domain/job.js';
 import type { MachineType } from '../domain/machine-type.js';
 import type { Settings } from '../domain/settings.js';
 import type { Team } from '../domain/team.js';
 import type { DependencyStates } from '../jobs/dependency-states.js';
+import type { Clock } from '../net/clock.js';
 import type { JsonResponse } from '../net/json-response.js';
 import { Priority } from '../net/token-bucket.js';
 import type { ClusterState } from '../records/cluster-state.js';
@@ -31,6 +33,7 @@
   states: DependencyStates;
   limits: TransactionLimits;
   inventory: MachineTypeCatalog;
+  clock: Clock;
 }
 
 /** Why a submission is not admitted. */
@@ -92,13 +95,14 @@
 
   /** Each dependency must have been accepted by some node, and must not be a service, which never ends. */
   private async checkDependencies(spec: JobSpec, dependencies: readonly string[]): Promise<Rejection | undefined> {
-    const { lookup, states, clusterState } = this.dependencies;
+    const { lookup, clusterState } = this.dependencies;
     if (dependencies.includes(spec.id)) return rejected(rejectPermanently('a job can not wait for itself'));
-    const unknown = dependencies.filter((dependency) => states.stateOf(dependency) === 'unknown');
-    const results = await Promise.all(unknown.map((dependency) => lookup.findUnbatched(dependency)));
+    if (!(await this.readUnknownDependencies(dependencies))) return nodeUnavailable(storeUnavailable());
+    const unknown = this.unknownAmong(dependencies);
+    const results = await lookup.findAll(unknown);
     const missing = unknown.find((_, index) => results[index]!.kind === 'not_found');
     if (missing !== undefined) return rejected(rejectPermanently(`${missing} was never accepted`));
-    const isUnconfirmed = results.some(({ kind }) => kind === 'unavailable') || !lookup.hasCurrentCancellations;
+    const isUnconfirmed = results.some(({ kind }) => kind === 'unavailable') || !this.hasCurrentCancellations;
     if (isUnconfirmed) return rejected(storeUnavailable());
     const service = dependencies.find(
       (dependency) => clusterState.jobs.get(dependency)?.record.spec.kind === 'service',
@@ -106,4 +110,30 @@
     if (service !== undefined) return rejected(rejectPermanently(`${service} is a service, which never ends`));
     return undefined;
   }
+
+  private unknownAmong(dependencies: readonly string[]): string[] {
+    return dependencies.filter((dependency) => this.dependencies.states.stateOf(dependency) === 'unknown');
+  }
+
+  /**
+   * Reads the records of dependencies that this node has no record of: most were accepted by another node just before. Resolves
+   * to false if that takes too long; what has been read by then is known when the user tries again.
+   */
+  private async readUnknownDependencies(dependencies: readonly string[]): Promise<boolean> {
+    const { replica, states, clock } = this.dependencies;
+    if (this.unknownAmong(dependencies).length === 0) return true;
+    const read = async (): Promise<boolean> => {
+      await replica.refreshSince(clock.now(), Priority.accept);
+      await states.loadFinalStates(this.unknownAmong(dependencies));
+      return true;
+    };
+    return Promise.race([read(), clock.sleep(SUBMIT_DEADLINE_MS).then(() => false)]);
+  }
+
+  /** Whether the replica holds every cancellation that must by now have taken effect on the dependents of the cancelled job. */
+  private get hasCurrentCancellations(): boolean {
+    const { replica, clock, settings } = this.dependencies;
+    const { cancelDeadlineMs } = settings.cluster.workers;
+    return clock.now() - replica.freshAt < cancelDeadlineMs * SUBMISSION_REPLICA_AGE_SHARE;
+  }
 }
--- a/src/api/job-cancellation.ts
+++ b/src/api/job-cancellation.ts
@@ -33,8 +33,8 @@
   /** Gives up after the deadline for submissions. */
   async cancel(jobId: string): Promise<CancellationOutcome> {
     const { lookup, clock, transactions, log } = this.dependencies;
-    const final = lookup.finalStatus(jobId);
-    if (final !== undefined) return { kind: 'ended', job: final };
+    const settled = lookup.settledStatus(jobId);
+    if (settled !== undefined) return { kind: 'ended', job: settled };
     if (lookup.isStoreUnavailable) return { kind: 'unavailable' };
     const deadlineMs = clock.now() + SUBMIT_DEADLINE_MS;
     const decide = (draft: TransactionDraft) => writeCancellation(draft, jobId);
--- a/src/api/job-service.ts
+++ b/src/api/job-service.ts
@@ -30,8 +30,7 @@
     const parsed = parseSubmission(body);
     if (!parsed.ok) return this.rejectMalformed(parsed);
     const { spec, dependencies } = parsed;
-    const finalStatus = this.dependencies.lookup.finalStatus(spec.id);
-    if (finalStatus !== undefined) return statusResponse(finalStatus);
+    if (this.dependencies.lookup.isKnown(spec.id)) return this.statusOrElse(spec.id, storeUnavailable());
     const rejection = await this.admission.check(spec, dependencies);
     if (rejection?.kind === 'node_unavailable') return rejection.answer;
     if (rejection?.kind === 'rejected') return this.statusOrElse(spec.id, rejection.answer);
@@ -42,7 +41,8 @@
     const outcome = await this.acceptance.accept(spec, dependencies);
     switch (outcome.kind) {
       case 'accepted': {
-        const state = outcome.state === 'cancelled' ? 'cancelled' : 'queued';
+        // While the store's answer was on its way, another node may have reported the job as cancelled with a dependency.
+        const state = this.dependencies.lookup.settledStatus(spec.id)?.state ?? 'queued';
         return { status: 201, body: encodeJobState({ jobId: spec.id, state }) };
       }
       case 'known':
--- a/src/constants/api.ts
+++ b/src/constants/api.ts
@@ -3,11 +3,11 @@
 /** ms after which a submission is refused with 503: users give up after 5 s, and this leaves them time to try another node. */
 export const SUBMIT_DEADLINE_MS = 1800;
 
-/** ms after which a poll is refused: users wait 2 s for a response. */
-export const POLL_DEADLINE_MS = 1500;
+/** ms after which a poll that could not be decided is refused: users wait 2 s for a response. */
+export const POLL_DEADLINE_MS = 1800;
 
 /**
- * ms for which polls are collected before one transaction of conditions serves them all: users wait 2 s, and about a hundred
+ * ms for which polls are collected before one request to the store serves them all: users wait 2 s, and about a hundred
  * users who poll every 5 s would otherwise cost one store request for each poll.
  */
 export const POLL_BATCHING_MS = 250;
--- a/src/constants/records.ts
+++ b/src/constants/records.ts
@@ -30,5 +30,5 @@
 /** ms between sweeps over jobs that wait for others: they only catch what the events have missed. */
 export const DEPENDENCY_SWEEP_PERIOD_MS = 1000;
 
-/** Maximum age of a complete replica for reporting a waiting job as queued, as a share of the cancellation deadline. */
-export const QUEUED_REPLICA_AGE_SHARE = 0.5;
+/** Maximum age of a complete replica for accepting a job with dependencies, as a share of the cancellation deadline. */
+export const SUBMISSION_REPLICA_AGE_SHARE = 0.5;
--- a/src/controller/job-parts.ts
+++ b/src/controller/job-parts.ts
@@ -6,7 +6,7 @@
 import { JobCompletion, type JobCompletionDependencies } from '../jobs/job-completion.js';
 import { WaitingJobAdvancer } from '../jobs/waiting-job-advancer.js';
 
-type BuiltHere = 'states' | 'completion' | 'waitingJobAdvancer' | 'lookup' | 'cancelDeadlineMs';
+type BuiltHere = 'states' | 'completion' | 'waitingJobAdvancer' | 'lookup';
 
 /** What the job parts need from outside. */
 export type JobPartsDependencies = Omit<
@@ -33,8 +33,7 @@
   const completion = new JobCompletion({ ...dependencies, states });
   const waitingJobAdvancer = new WaitingJobAdvancer({ ...dependencies, states });
   const changeHandler = new JobChangeHandler({ ...dependencies, completion, waitingJobAdvancer });
-  const { cancelDeadlineMs } = dependencies.settings.cluster.workers;
-  const lookup = new JobLookup({ ...dependencies, states, cancelDeadlineMs });
+  const lookup = new JobLookup({ ...dependencies, states });
   const jobs = new JobService({ ...dependencies, states, lookup });
   return { jobs, completion, changeHandler, waitingJobAdvancer };
 }
--- a/src/store/replica.ts
+++ b/src/store/replica.ts
@@ -75,6 +75,7 @@
   /** Deletions up to this revision may be unknown to this replica. */
   private compactedRevision = 0;
   private refreshInProgress: Promise<boolean> | undefined;
+  private loadInProgress: Promise<void> | undefined;
   /** The replica is complete up to this revision, and may hold some later changes. */
   revision = 0;
   /** The number of changes applied; a different number means that the contents may have changed. */
@@ -179,8 +180,18 @@
     for (const change of changes) this.applyFromPeer(change);
   }
 
-  /** Reads all records from the store, and drops local records that no longer exist there. Throws a `StoreError`. */
-  async load(): Promise<void> {
+  /**
+   * Reads all records from the store, and drops local records that no longer exist there; concurrent callers share one read.
+   * Throws a `StoreError`.
+   */
+  load(): Promise<void> {
+    this.loadInProgress ??= this.readAll().finally(() => {
+      this.loadInProgress = undefined;
+    });
+    return this.loadInProgress;
+  }
+
+  private async readAll(): Promise<void> {
     const sentAtMs = this.clock.now();
     const seenKeys = new Set<string>();
     let firstRevision: number | undefined;
@@ -216,23 +227,27 @@
    * if the store did not respond, or nothing is loaded yet.
    */
   refresh(): Promise<boolean> {
-    this.refreshInProgress ??= this.pull(0).finally(() => {
+    this.refreshInProgress ??= this.pull(0, Priority.lease).finally(() => {
       this.refreshInProgress = undefined;
     });
     return this.refreshInProgress;
   }
 
+  /**
+   * Makes the replica complete as of the monotonic time `sinceMs`, in ms: does nothing if it is already, and relies on no request
+   * that was sent before. Resolves to false if the store did not respond, or nothing is loaded yet.
+   */
+  async refreshSince(sinceMs: number, priority: Priority): Promise<boolean> {
+    if (this.freshAt < sinceMs) await this.pull(0, priority);
+    return this.freshAt >= sinceMs;
+  }
+
   /** Watches for at most `waitMs`. Resolves to false if the store did not respond, or nothing is loaded yet. */
-  private async pull(waitMs: number): Promise<boolean> {
+  private async pull(waitMs: number, priority: Priority): Promise<boolean> {
     if (!this.isLoaded) return false;
     const sentAtMs = this.clock.now();
     try {
-      const watched = await this.client.watch(
-        this.prefix,
-        this.revision,
-        waitMs,
-        waitMs === 0 ? Priority.lease : Priority.record,
-      );
+      const watched = await this.client.watch(this.prefix, this.revision, waitMs, priority);
       if (watched === undefined) {
         await this.load();
         return true;
@@ -254,7 +269,7 @@
         if (!this.isLoaded) await this.clock.sleep(LOAD_RETRY_MS, signal);
         continue;
       }
-      const isUpToDate = await this.pull(WATCH_WAIT_MS);
+      const isUpToDate = await this.pull(WATCH_WAIT_MS, Priority.record);
       await this.clock.sleep(isUpToDate ? this.watchPauseMs() : WATCH_RETRY_MS, signal);
     }
   }
