Split the tombstones from the replica; typed outcomes in the submission path

replica.ts held the list of deletions beside the records; it is a class of its own now. The outcome of decoding a submission is a kind in place of a flag, and a rejection's JsonResponse is called response.

--- a/src/api/job-admission.ts
+++ b/src/api/job-admission.ts
@@ -39,12 +39,12 @@
 /** Why a submission is not admitted. */
 export type Rejection =
   /** The node can't accept any submission now, and does not look up the job either. */
-  | { kind: 'node_unavailable'; answer: JsonResponse }
+  | { kind: 'node_unavailable'; response: JsonResponse }
   /** The submission is rejected unless the job is already known; then the response is the job's status. */
-  | { kind: 'rejected'; answer: JsonResponse };
+  | { kind: 'rejected'; response: JsonResponse };
 
-const nodeUnavailable = (answer: JsonResponse): Rejection => ({ kind: 'node_unavailable', answer });
-const rejected = (answer: JsonResponse): Rejection => ({ kind: 'rejected', answer });
+const nodeUnavailable = (response: JsonResponse): Rejection => ({ kind: 'node_unavailable', response });
+const rejected = (response: JsonResponse): Rejection => ({ kind: 'rejected', response });
 
 /** Checks the state of the node, then the job by itself, then the write backlog, then the jobs that it depends on. */
 export class JobAdmission {
--- a/src/api/job-service.ts
+++ b/src/api/job-service.ts
@@ -28,12 +28,12 @@
   /** 201 for a new job, 200 for a known one, otherwise the reason for the rejection. Idempotent. */
   async submit(body: unknown): Promise<JsonResponse> {
     const parsed = parseSubmission(body);
-    if (!parsed.ok) return this.rejectMalformed(parsed);
+    if (parsed.kind === 'malformed') return this.rejectMalformed(parsed);
     const { spec, dependencies } = parsed;
     if (this.dependencies.lookup.isKnown(spec.id)) return this.statusOrElse(spec.id, storeUnavailable());
     const rejection = await this.admission.check(spec, dependencies);
-    if (rejection?.kind === 'node_unavailable') return rejection.answer;
-    if (rejection?.kind === 'rejected') return this.statusOrElse(spec.id, rejection.answer);
+    if (rejection?.kind === 'node_unavailable') return rejection.response;
+    if (rejection?.kind === 'rejected') return this.statusOrElse(spec.id, rejection.response);
     return this.accept(spec, dependencies);
   }
 
@@ -79,7 +79,7 @@
   private rejectMalformed({
     error,
     jobId,
-  }: Extract<ParsedSubmission, { ok: false }>): Promise<JsonResponse> | JsonResponse {
+  }: Extract<ParsedSubmission, { kind: 'malformed' }>): Promise<JsonResponse> | JsonResponse {
     const malformed: JsonResponse = { status: 400, body: { error } };
     return jobId === undefined ? malformed : this.statusOrElse(jobId, malformed);
   }
--- a/src/api/job-wire-codec.ts
+++ b/src/api/job-wire-codec.ts
@@ -47,24 +47,24 @@
 
 /** A decoded submission, or the first error in it. */
 export type ParsedSubmission =
-  | { ok: true; spec: JobSpec; dependencies: string[] }
+  | { kind: 'valid'; spec: JobSpec; dependencies: string[] }
   /** `jobId`: the job's id, if that is valid: if the job is already known, the other errors do not matter. */
-  | { ok: false; error: string; jobId: string | undefined };
+  | { kind: 'malformed'; error: string; jobId: string | undefined };
 
 /** Decodes a submission; unknown fields are ignored. */
 export function parseSubmission(body: unknown): ParsedSubmission {
   if (typeof body !== 'object' || body === null || Array.isArray(body)) {
-    return { ok: false, error: 'not an object', jobId: undefined };
+    return { kind: 'malformed', error: 'not an object', jobId: undefined };
   }
   const job = v.safeParse(JobSchema, body);
   const dependencies = v.safeParse(DependenciesSchema, body);
   if (job.success && dependencies.success) {
-    return { ok: true, spec: decodeJobSpec(job.output), dependencies: [...new Set(dependencies.output.Awaits)] };
+    return { kind: 'valid', spec: decodeJobSpec(job.output), dependencies: [...new Set(dependencies.output.Awaits)] };
   }
   const issue = (job.issues ?? dependencies.issues)![0];
   const { Ref: id } = body as { Ref?: unknown };
   return {
-    ok: false,
+    kind: 'malformed',
     error: `${v.getDotPath(issue) ?? 'body'}: ${issue.message}`.slice(0, MAX_ERROR_CHARACTERS),
     jobId: typeof id === 'string' && JOB_ID_PATTERN.test(id) ? id : undefined,
   };
--- a/src/jobs/job-change-handler.ts
+++ b/src/jobs/job-change-handler.ts
@@ -13,7 +13,7 @@
 export interface WorkerCommandPusher {
   readonly workers: { get(machineId: string): { tasks: ReadonlyMap<string, { attempt: number }> } | undefined };
   /** Sends the machine's worker the commands that have changed, after `batchingMs` at most. */
-  pushCommands(machineId: string, gatherMs?: number): void;
+  pushCommands(machineId: string, batchingMs?: number): void;
 }
 
 /** Triggers placement plans. */
--- a/src/store/replica.ts
+++ b/src/store/replica.ts
@@ -1,16 +1,10 @@
 /** A local copy of the store's live records, kept up to date by a watch and by changes that peers broadcast. */
-import {
-  LOAD_RETRY_MS,
-  PAGE_ROWS,
-  TOMBSTONES_KEPT,
-  WATCH_PAUSE_MS,
-  WATCH_RETRY_MS,
-  WATCH_WAIT_MS,
-} from '../constants/store.js';
+import { LOAD_RETRY_MS, PAGE_ROWS, WATCH_PAUSE_MS, WATCH_RETRY_MS, WATCH_WAIT_MS } from '../constants/store.js';
 import type { Clock } from '../net/clock.js';
 import { Priority } from '../net/token-bucket.js';
 import type { StoreClient } from './store-client.js';
 import type { Change, Page } from './store-wire-codec.js';
+import { Tombstones } from './tombstones.js';
 
 /** A key's value and the revision of its last change. */
 export interface StoredValue {
@@ -70,10 +64,8 @@
 export class Replica {
   private readonly rows = new Map<string, StoredValue>();
   private readonly listeners: ReplicaListener[] = [];
-  /** Deleted keys, oldest first, kept for peers whose replicas may not have the deletion yet. */
-  private readonly tombstones: { key: string; modRevision: number }[] = [];
-  /** Deletions up to this revision may be unknown to this replica. */
-  private compactedRevision = 0;
+  /** Deleted keys, kept for peers whose replicas may not have the deletion yet. */
+  private readonly tombstones = new Tombstones();
   private refreshInProgress: Promise<boolean> | undefined;
   private loadInProgress: Promise<void> | undefined;
   /** The replica is complete up to this revision, and may hold some later changes. */
@@ -112,7 +104,7 @@
     const current = { value: change.value, modRevision: change.modRevision };
     this.rows.set(change.key, current);
     this.version++;
-    if (change.value === undefined) this.tombstones.push({ key: change.key, modRevision: change.modRevision });
+    if (change.value === undefined) this.tombstones.add({ key: change.key, modRevision: change.modRevision });
     for (const listener of this.listeners) listener(change.key, current, previous);
   }
 
@@ -131,20 +123,11 @@
     this.compactTombstones();
   }
 
-  /**
-   * Drops old tombstones. Once the replica is complete up to a deletion's revision, `applyFromPeer` rejects older changes of the
-   * key by their revision alone.
-   */
   private compactTombstones(): void {
-    let count = 0;
-    while (this.tombstones.length - count > TOMBSTONES_KEPT && this.tombstones[count]!.modRevision <= this.revision) {
-      const { key, modRevision } = this.tombstones[count]!;
-      count++;
-      this.compactedRevision = Math.max(this.compactedRevision, modRevision);
+    for (const { key, modRevision } of this.tombstones.compact(this.revision)) {
       const row = this.rows.get(key);
       if (row?.value === undefined && row?.modRevision === modRevision) this.rows.delete(key);
     }
-    if (count > 0) this.tombstones.splice(0, count);
   }
 
   /** The changes that the replica holds after the revision `after`, oldest first, up to about `maxBytes`. */
@@ -172,7 +155,7 @@
    */
   completeRevisionAfter(from: number): number {
     // Deletions after `from` may have been compacted here, so the other replica may lack them.
-    return from < this.compactedRevision ? from : Math.max(from, this.revision);
+    return from < this.tombstones.compactedRevision ? from : Math.max(from, this.revision);
   }
 
   /** Applies changes from a peer's replica. */
@@ -216,7 +199,7 @@
     }
     this.revision = Math.max(this.revision, revision);
     // Deletions up to this revision were not observed.
-    this.compactedRevision = Math.max(this.compactedRevision, revision);
+    this.tombstones.markUnobservedTo(revision);
     this.isLoaded = true;
     this.freshAt = Math.max(this.freshAt, sentAtMs);
     this.onLoaded({ revision, rowCount: seenKeys.size, tookMs: this.clock.now() - sentAtMs });
