Test repeated submissions and reads above the store's rate for waiting jobs

A repeated submission to a controller whose watch lags was answered queued like a query. With 120 dependencies whose final records no controller has in memory, and 40 requests a second, a submission got no answer within two seconds before the fix; it is refused in time, accepted at a later attempt, and queries are answered or refused in time.

--- a/test/api/waiting-job-queries.test.ts
+++ b/test/api/waiting-job-queries.test.ts
@@ -4,6 +4,7 @@
 
 import { WATCH_WAIT_MS } from '../../src/constants/store.js';
 import type { JsonResponse } from '../../src/net/json-response.js';
+import { encodeFinalJobRecord } from '../../src/records/record-codecs.js';
 import { Cluster } from '../../testing/cluster.js';
 import { jobOf } from '../../testing/fixtures.js';
 
@@ -17,8 +18,8 @@
 /** Ids have six digits, as those of users. */
 const FIRST_NUMBER = 100_000;
 
-async function startCluster(runMs = 1_000_000): Promise<void> {
-  const state = { rps: 250, write_rps: 15, value_kb: 4, txn_ops: 12, next: ANNOUNCED_LIMITS };
+async function startCluster(runMs = 1_000_000, requestsPerSecond = 250): Promise<void> {
+  const state = { rps: requestsPerSecond, write_rps: 15, value_kb: 4, txn_ops: 12, next: ANNOUNCED_LIMITS };
   cluster = new Cluster({ nodes: NODES.length, cluster: { state } });
   for (const zone of 'abc') cluster.addWorker({ machineId: `i-${zone}`, zone, runMs });
   await cluster.advance(6000);
@@ -78,7 +79,8 @@
     const answers = [cluster.requestStatus('j-c', 1), cluster.requestStatus('j-b', 1)];
     await cluster.advance(1);
     // Both answers were given at once, so the other controller is asked later.
-    const later = [cluster.requestStatus('j-c', 2), cluster.requestStatus('j-b', 2)];
+    const submittedAgain = cluster.post(jobOf({ id: 'j-c', dependencies: ['j-b'] }), 2);
+    const later = [cluster.requestStatus('j-c', 2), cluster.requestStatus('j-b', 2), submittedAgain];
     await cluster.advance(1000);
     for (const answer of [...answers, ...later]) assert.equal(phaseIn(await answer), 'withdrawn');
     assert.equal(recordOf('j-c')?.phase, 'waiting');
@@ -170,4 +172,29 @@
     endFault();
     assert.equal(phaseIn(await query('j-b', 1)), 'queued');
   });
+
+  it('gets 503 in time while more ends of dependencies are to be read than the store allows, as its submission does', async () => {
+    await startCluster(undefined, 40);
+    const done = Array.from({ length: 120 }, (_, n) => `j-${FIRST_NUMBER + n}`);
+    // Jobs that ended before any of the running nodes was started.
+    for (const id of done) {
+      cluster.checker.submitted(jobOf({ id }));
+      const value = encodeFinalJobRecord({ state: 'done', taskCount: 1 });
+      cluster.store.rows.set(`ended/${id}`, { value, modRevision: 1, leaseId: undefined });
+    }
+    assert.equal(await submit('j-open', []), 201);
+    const submission = jobOf({ id: 'j-b', dependencies: [...done, 'j-open'] });
+    const refused = cluster.post(submission);
+    await cluster.advance(1990);
+    assert.equal((await refused).status, 503);
+    let attempts = 1;
+    while ((await cluster.advanceUntilSettled(cluster.post(submission))).status !== 201) attempts++;
+    assert.ok(attempts < 5, `accepted at attempt ${attempts}`);
+    for (let asked = 0; asked < 3; asked++) {
+      const answer = await query('j-b', 2);
+      assert.ok(answer.status === 200 || answer.retryAfter !== undefined);
+    }
+    await cluster.advance(5000);
+    assert.equal(phaseIn(await query('j-b', 2)), 'queued');
+  });
 });
