--- a/test/api/waiting-job-queries.test.ts
+++ b/test/api/waiting-job-queries.test.ts
@@ -141,7 +141,6 @@
     while (!(await accepts(width))) width -= 5;
     assert.ok(width > 4 * ANNOUNCED_LIMITS.txn_ops);
     cluster.store.limits = SHRUNK_LIMITS;
-    // In so short a time a node sends no more than one other read, when it renews its store lease.
     const idleReads = await countReads(1, () => cluster.advance(5 * 1990));
     const reads = await countReads(1, async () => {
       for (let n = 0; n < 5; n++) {
