--- a/src/api/api-server.ts
+++ b/src/api/api-server.ts
@@ -9,6 +9,7 @@
   RETRY_AFTER_S,
   WORKER_CONNECTION_SHARE,
 } from '../constants/api.js';
+import { EventCounts } from '../logging/event-counts.js';
 import type { Log } from '../logging/log.js';
 import type { RefusalLog } from '../logging/refusal-log.js';
 import type { JsonResponse } from '../net/json-response.js';
@@ -29,6 +30,8 @@
   openUserRequests: number;
   /** Connections that were closed at once since the last report, because the limit was reached. */
   droppedConnections: number;
+  /** Answers since the last report, by who asked and status. */
+  answers: Readonly<Record<string, number>>;
 }
 
 /** Routes requests to their handlers. Limits the number of open users' requests, so that memory use is bounded. */
@@ -39,6 +42,7 @@
   private openUserRequests = 0;
   private readonly connections = new ConnectionCounts();
   private droppedConnections = 0;
+  private readonly answers = new EventCounts();
   private readonly maxWorkerConnections: number;
 
   constructor(
@@ -86,13 +90,19 @@
   takeStatus(): ApiServerStatus {
     const { openUserRequests, droppedConnections } = this;
     this.droppedConnections = 0;
-    return { connections: this.connections.current(), openUserRequests, droppedConnections };
+    return {
+      connections: this.connections.current(),
+      openUserRequests,
+      droppedConnections,
+      answers: this.answers.take(),
+    };
   }
 
   private serve(request: IncomingMessage, response: ServerResponse): void {
     const route = this.routes.find(request.url ?? '/');
     if (route === undefined) {
-      sendWithoutReading(request, response, NO_SUCH_PATH);
+      request.resume();
+      this.respond(response, 'unused', NO_SUCH_PATH);
       return;
     }
     this.connections.used(request.socket, route.connectionKind);
@@ -100,7 +110,8 @@
     if (isWorker && this.connections.workerCount > this.maxWorkerConnections) response.shouldKeepAlive = false;
     const refusal = this.refusalFor(route, request.method);
     if (refusal !== undefined) {
-      sendWithoutReading(request, response, refusal);
+      request.resume();
+      this.respond(response, route.connectionKind, refusal);
       return;
     }
     const release = route.isConcurrencyLimited ? this.trackOpenRequest(request) : undefined;
@@ -115,8 +126,8 @@
         return;
       }
       release?.();
-      if (body.kind === 'malformed') send(response, NOT_JSON);
-      else send(response, TOO_LARGE, () => request.destroy());
+      if (body.kind === 'malformed') this.respond(response, route.connectionKind, NOT_JSON);
+      else this.respond(response, route.connectionKind, TOO_LARGE, () => request.destroy());
     });
   }
 
@@ -150,29 +161,29 @@
     }
     if (!(answer instanceof Promise)) {
       release?.();
-      send(response, answer);
+      this.respond(response, route.connectionKind, answer);
       return;
     }
     void answer
       .catch((error: unknown) => this.logFailure(error))
       .then((settled) => {
         release?.();
-        send(response, settled);
+        this.respond(response, route.connectionKind, settled);
       });
   }
 
+  /** `onSent`: called when the response has been handed to the socket; if given, the connection is closed afterwards. */
+  private respond(response: ServerResponse, kind: ConnectionKind, answer: JsonResponse, onSent?: () => void): void {
+    this.answers.record(`${kind} ${answer.status}`);
+    send(response, answer, onSent);
+  }
+
   private logFailure(error: unknown): JsonResponse {
     this.log.error({ error: (error as Error).stack ?? String(error) }, 'request failed');
     return INTERNAL_ERROR;
   }
 }
 
-/** Responds without reading the body. */
-function sendWithoutReading(request: IncomingMessage, response: ServerResponse, answer: JsonResponse): void {
-  request.resume();
-  send(response, answer);
-}
-
 /** `onSent`: called when the response has been handed to the socket; if given, the connection is closed afterwards. */
 function send(response: ServerResponse, answer: JsonResponse, onSent?: () => void): void {
   const body = JSON.stringify(answer.body);
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -241,7 +241,10 @@
 
   /** The response to a health check of the load balancer. */
   answerHealthCheck(): JsonResponse {
-    const isServing = !this.handover.isUnderway && this.leadershipParts.health.isServing;
+    const { health } = this.leadershipParts;
+    const reason = this.handover.isUnderway ? 'handing_over' : health.refusalReason;
+    if (reason !== undefined) this.environment.refusals.record({ kind: 'health check', reason });
+    const isServing = reason === undefined;
     return { status: isServing ? 200 : 503, body: { up: isServing } };
   }
 
--- a/src/controller/node-status.ts
+++ b/src/controller/node-status.ts
@@ -60,6 +60,7 @@
       eventLoopDelayMs: Math.round(this.eventLoopDelay.takeLongestMs()),
       longestPlanTurnMs: Math.round(planner.takeLongestTurnMs()),
       storeWaitMs: client.takeLongestWaits(),
+      storeRequests: client.takeOutcomes(),
       outgoing: http.connectionStatus?.(),
       incoming: apiServer(),
       refusals: refusals.takeCounts(),
--- a/src/store/store-client.ts
+++ b/src/store/store-client.ts
@@ -1,6 +1,7 @@
 /** The client of the store, which enforces the store's limits on requests and writes per second, by priority. */
 import { NODE_RATE_SHARE, RETRY_JITTER_SHARE, STORE_TIMEOUT_MS } from '../constants/store.js';
 import type { StoreSettings } from '../domain/settings.js';
+import { EventCounts } from '../logging/event-counts.js';
 import type { Clock } from '../net/clock.js';
 import { type HttpClient, type HttpResponse, NoResponseError } from '../net/http-client.js';
 import type { Random } from '../net/random.js';
@@ -34,6 +35,10 @@
 /** Factor on `STORE_TIMEOUT_MS` for pages of rows, which take longer than other responses. */
 const LIST_TIMEOUT_FACTOR = 2;
 
+const NAMES_BY_PRIORITY: ReadonlyMap<Priority, string> = new Map(
+  Object.entries(Priority).map(([name, priority]) => [priority, name]),
+);
+
 /** The store refused a request or did not respond; the message names the operation. */
 export class StoreError extends Error {
   readonly code = 'store_unavailable';
@@ -90,6 +95,7 @@
   private readonly address: string;
   private readonly clock: Clock;
   private readonly random: Random;
+  private readonly outcomes = new EventCounts();
   /** Monotonic ms of the last response other than 503, and of the last 503 or missing response. */
   lastAnsweredAt = -Infinity;
   lastUnavailableAt = -Infinity;
@@ -117,8 +123,10 @@
       reply = await this.http.call(this.address, method, path, body, { timeoutMs, connectMs: STORE_TIMEOUT_MS });
     } catch (error) {
       if (error instanceof NoResponseError) this.lastUnavailableAt = this.clock.now();
+      this.outcomes.record(`${NAMES_BY_PRIORITY.get(priority)} unanswered`);
       throw error;
     }
+    this.outcomes.record(`${NAMES_BY_PRIORITY.get(priority)} ${reply.status}`);
     if (reply.status === 503) this.lastUnavailableAt = this.clock.now();
     else this.lastAnsweredAt = this.clock.now();
     if (reply.status === 429) this.backOff(priority, { hasWrites: writes > 0 });
@@ -137,6 +145,11 @@
     return waits;
   }
 
+  /** The requests since the last call, by the name of the priority with the status of the response. */
+  takeOutcomes(): Record<string, number> {
+    return this.outcomes.take();
+  }
+
   private backOff(priority: Priority, { hasWrites }: { hasWrites: boolean }): void {
     const pauseMs = this.random.jitter(THROTTLE_PAUSE_MS, RETRY_JITTER_SHARE);
     if (hasWrites) this.writeBucket.backOff(pauseMs, priority);
