--- a/testing/answer-checker.ts
+++ b/testing/answer-checker.ts
@@ -1,5 +1,6 @@
 /** Rules on answers to users: no job is forgotten or invented, and a final state is never revoked. */
 import { decodeJobState, type JobState } from './job-status-wire-codec.js';
+import type { ConnectionFailure } from './keep-alive-connection.js';
 import type { ObservedCluster, ObservedJob } from './observed-cluster.js';
 import type { PipelineChecker } from './pipeline-checker.js';
 import type { PlacementRules } from './placement-rules.js';
@@ -10,6 +11,9 @@
 /** The rules that answers can violate. */
 export type AnswerRule = 'forgotten' | 'invented' | 'not_done' | 'went_back' | 'wrongly_accepted' | 'orphaned';
 
+/** Why a user's request got no answer; `no_node`: the load balancer had no healthy node. */
+export type RequestFailure = ConnectionFailure | 'no_node';
+
 /** An answer to a user's request, or the absence of one. */
 export interface UserAnswer {
   kind: 'submit' | 'poll' | 'cancel';
@@ -19,6 +23,8 @@
   /** HTTP status; 0: no answer in time, or no connection. */
   status: number;
   body: unknown;
+  /** Why there was no answer, if it is known. */
+  failure?: RequestFailure | undefined;
 }
 
 /** The state and rules that answers are checked against. */
--- a/testing/fake-store.ts
+++ b/testing/fake-store.ts
@@ -18,6 +18,7 @@
 /** Period at which an open watch checks whether the outage has ended. */
 const OUTAGE_POLL_MS = 50;
 const CONDITIONS_PER_WRITE = 4;
+const TOO_MANY: HttpResponse = { status: 429, body: { error: 'too many' } };
 
 interface StoredValue {
   value: unknown;
@@ -32,6 +33,24 @@
   /** Operations in one transaction; four times as many conditions are allowed. */
   transactionWrites: number;
   writesPerSecond: number;
+  /** All requests; unlimited if absent. */
+  requestsPerSecond?: number;
+}
+
+/** A rate limit that allows bursts of one second's worth. */
+class RateLimit {
+  private allowance = Infinity;
+  private countedAt = 0;
+
+  /** Returns false if the rate is exceeded. */
+  take(count: number, ratePerSecond: number, now: number): boolean {
+    const regained = ((now - this.countedAt) / 1000) * ratePerSecond;
+    this.allowance = Math.min(ratePerSecond, this.allowance + regained);
+    this.countedAt = now;
+    if (this.allowance < count) return false;
+    this.allowance -= count;
+    return true;
+  }
 }
 
 type RequestOf<K extends StoreRequest['kind']> = Extract<StoreRequest, { kind: K }>;
@@ -53,8 +72,8 @@
   slowMs = 0;
   /** Undefined: no limits. May change at any time. */
   limits: StoreLimits | undefined;
-  /** Operations that the rate limit still allows, as of the time `at`. */
-  private writeAllowance = { count: Infinity, at: 0 };
+  private readonly writeRate = new RateLimit();
+  private readonly requestRate = new RateLimit();
   /** Number of transactions that were rejected for their size. */
   tooLargeCount = 0;
   /** Nodes that get 503 to every request while others are served; their open watches wait, as in an outage. */
@@ -83,6 +102,7 @@
 
   private async execute(method: string, path: string, body: unknown, from: string | undefined): Promise<HttpResponse> {
     if (this.isUnavailableTo(from)) return { status: 503, body: { error: 'unavailable' } };
+    if (!this.isWithinRequestRate()) return TOO_MANY;
     this.expireLeases();
     const request = decodeStoreRequest(method, path, body);
     switch (request.kind) {
@@ -102,6 +122,11 @@
     }
   }
 
+  private isWithinRequestRate(): boolean {
+    const rate = this.limits?.requestsPerSecond;
+    return rate === undefined || this.requestRate.take(1, rate, this.clock.now());
+  }
+
   private get(key: string): HttpResponse {
     const row = this.rows.get(key);
     if (row === undefined) return { status: 404, body: encodeRevision(this.revision) };
@@ -159,12 +184,8 @@
       this.tooLargeCount++;
       return { status: 400, body: { error: `too large: ${operations.length} changes, ${bytes} bytes` } };
     }
-    const now = this.clock.now();
-    const regained = ((now - this.writeAllowance.at) / 1000) * writesPerSecond;
-    this.writeAllowance = { count: Math.min(writesPerSecond, this.writeAllowance.count + regained), at: now };
-    if (this.writeAllowance.count < operations.length) return { status: 429, body: { error: 'too many changes' } };
-    this.writeAllowance.count -= operations.length;
-    return undefined;
+    const isWithinRate = this.writeRate.take(operations.length, writesPerSecond, this.clock.now());
+    return isWithinRate ? undefined : TOO_MANY;
   }
 
   private apply(operations: readonly StoreOperation[]): void {
--- a/testing/keep-alive-connection.ts
+++ b/testing/keep-alive-connection.ts
@@ -13,11 +13,16 @@
   timeoutMs: number;
 }
 
+/** Why a request got no response: no connection was established, it was closed before the response, or the time was over. */
+export type ConnectionFailure = 'not_connected' | 'closed' | 'timeout';
+
 /** Keeps its connection open between requests, and closes it after a request without a response. */
 export class KeepAliveConnection {
   private readonly agent = new Agent({ keepAlive: true, maxSockets: 1 });
   private readonly inFlight = new Set<ClientRequest>();
   private isClosed = false;
+  /** Why the last request without a response got none. */
+  lastFailure: ConnectionFailure | undefined;
 
   /** `localAddress`: the loopback address that the connection comes from. */
   constructor(private readonly localAddress?: string) {}
@@ -33,10 +38,16 @@
           ? {}
           : { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(payload) };
       const clientRequest = request({ agent, ...parseAddress(address), method, path, headers, localAddress });
-      const timer = setTimeout(() => clientRequest.destroy(), timeoutMs);
+      let isTimedOut = false;
+      const timer = setTimeout(() => {
+        isTimedOut = true;
+        clientRequest.destroy();
+      }, timeoutMs);
       this.inFlight.add(clientRequest);
       const finish = (response: HttpResponse | undefined): void => {
         clearTimeout(timer);
+        if (!this.inFlight.has(clientRequest)) return;
+        if (response === undefined) this.lastFailure = isTimedOut ? 'timeout' : failureOf(clientRequest);
         this.inFlight.delete(clientRequest);
         resolve(response);
       };
@@ -55,6 +66,9 @@
   }
 }
 
+const failureOf = ({ socket }: ClientRequest): ConnectionFailure =>
+  socket === null || socket.bytesWritten === 0 ? 'not_connected' : 'closed';
+
 function readResponse(response: IncomingMessage, finish: (result: HttpResponse | undefined) => void): void {
   const chunks: Buffer[] = [];
   response.on('data', (chunk: Buffer) => chunks.push(chunk));
--- a/testing/load-balancer.ts
+++ b/testing/load-balancer.ts
@@ -90,6 +90,8 @@
 export class LoadBalancer {
   /** All changes of the nodes' health, oldest first. */
   readonly changes: HealthChange[] = [];
+  /** Called with the outcome of each probe: the status of the answer, or why there was none. */
+  onProbe: (node: number, outcome: string) => void = () => undefined;
   private readonly nodes: BalancedNode[];
 
   constructor(
@@ -114,6 +116,7 @@
       });
       probe.close();
       if (signal.aborted) return;
+      this.onProbe(index, String(reply?.status ?? probe.lastFailure));
       this.recordProbe(index, reply?.status === 200);
       await this.clock.sleep(Math.max(0, PROBE_PERIOD_MS - (this.clock.now() - startedAt)), signal);
     }
@@ -135,6 +138,11 @@
     }
   }
 
+  /** The number of users' connections to each node, or undefined for a node that is not healthy. */
+  connectionCounts(): (number | undefined)[] {
+    return this.nodes.map(({ isHealthy, connections }) => (isHealthy ? connections.size : undefined));
+  }
+
   /** The node for a new connection; undefined if none is healthy. */
   choose(excluded: ReadonlySet<number> = new Set()): number | undefined {
     const now = this.clock.now();
--- a/testing/loopback-cluster.ts
+++ b/testing/loopback-cluster.ts
@@ -10,7 +10,7 @@
 import { ControllerProcesses } from './controller-processes.js';
 import { FakeCloud } from './fake-cloud.js';
 import { FakeGangs } from './fake-gangs.js';
-import { FakeStore } from './fake-store.js';
+import { FakeStore, type StoreLimits } from './fake-store.js';
 import { decodeTransaction, type StoreTransaction } from './fake-store-wire-codec.js';
 import type { FakeWorker } from './fake-worker.js';
 import { C8, jobOf } from './fixtures.js';
@@ -45,6 +45,8 @@
   sockets?: number;
   /** Seed of the stand-ins' random draws. */
   seed?: number;
+  /** Limits of the store that it enforces; by default the controllers are told some, but it enforces none. */
+  storeLimits?: Required<StoreLimits>;
   /** Whether the rules about placements are checked: with thousands of machines that takes too long. */
   checksPlacements?: boolean;
 }
@@ -59,6 +61,18 @@
 const GANG_PEER_MS = 4000;
 const DEFAULT_SEED = 7;
 
+/** What the controllers are told of a store without enforced limits. */
+const AMPLE_STATE = { rps: 2000, write_rps: 400, value_kb: 32, txn_ops: 48 };
+const BYTES_PER_KB = 1024;
+
+/** The limits as fields of the settings file. */
+const stateSettingsOf = (limits: Required<StoreLimits>): object => ({
+  rps: limits.requestsPerSecond,
+  write_rps: limits.writesPerSecond,
+  value_kb: limits.valueBytes / BYTES_PER_KB,
+  txn_ops: limits.transactionWrites,
+});
+
 /** Starts and ends the processes, serves the fakes, and checks the rules. */
 export class LoopbackCluster {
   readonly store = new FakeStore(unreferencedClock);
@@ -165,7 +179,9 @@
     const { heartbeatS, leaseS, cancelS } = this.timings;
     const workers = { report_s: heartbeatS, lease_s: leaseS, gang_wait_s: 30, gang_peer_s: 4, cancel_s: cancelS };
     const limits = { cpu: 1, ram_mb: 1500, sockets };
-    const state = { rps: 2000, write_rps: 400, value_kb: 32, txn_ops: 48 };
+    const { storeLimits } = this.options;
+    this.store.limits = storeLimits;
+    const state = storeLimits === undefined ? AMPLE_STATE : stateSettingsOf(storeLimits);
     const cluster = { workers, limits, state };
     this.startedProcesses = new ControllerProcesses({ tuning, teams: TEAMS, cluster }, controllers);
     this.startedProcesses.startAll();
--- a/testing/loopback-users.ts
+++ b/testing/loopback-users.ts
@@ -4,7 +4,7 @@
 import type { Random } from '../src/net/random.js';
 import type { UserAnswer } from './answer-checker.js';
 import { decodeJobState } from './job-status-wire-codec.js';
-import { type ConnectionRequest, KeepAliveConnection } from './keep-alive-connection.js';
+import { type ConnectionFailure, type ConnectionRequest, KeepAliveConnection } from './keep-alive-connection.js';
 import type { BalancedConnection, LoadBalancer } from './load-balancer.js';
 
 const RETRY_LIMIT_MS = 60_000;
@@ -37,6 +37,10 @@
     return this.connection.send(request);
   }
 
+  get lastFailure(): ConnectionFailure | undefined {
+    return this.connection.lastFailure;
+  }
+
   reset(): void {
     if (this.isReset) return;
     this.isReset = true;
@@ -89,7 +93,8 @@
       this.isAccepted = true;
       this.state = decodeJobState(body);
     }
-    this.dependencies.onAnswer({ kind, jobId: this.jobId, requestedAt, at: clock.now(), status, body });
+    const failure = reply === undefined ? (connection?.lastFailure ?? 'no_node') : undefined;
+    this.dependencies.onAnswer({ kind, jobId: this.jobId, requestedAt, at: clock.now(), status, body, failure });
     return { status, body };
   }
 
