Let idle connections give way: health checks and users always find a connection

Alone with 4,000 workers a controller also lost health checks in the listen queue of 511 (22,841 overflows counted by the system).

One rule in ConnectionTable, in place of the workers' share: an idle connection never keeps a client out. Beyond 70 % of the connections workers, beyond 85 % users get their answer and then reconnect; beyond 95 % a new connection closes the longest idle one, workers' first. The listen queue holds 4,096.

--- a/src/api/api-server.ts
+++ b/src/api/api-server.ts
@@ -4,16 +4,16 @@
 
 import {
   KEEP_ALIVE_MS,
+  LISTEN_BACKLOG,
   MAX_OPEN_REQUESTS,
   REQUEST_TIMEOUT_MS,
   RETRY_AFTER_S,
-  WORKER_CONNECTION_SHARE,
 } from '../constants/api.js';
 import { EventCounts } from '../logging/event-counts.js';
 import type { Log } from '../logging/log.js';
 import type { RefusalLog } from '../logging/refusal-log.js';
 import type { JsonResponse } from '../net/json-response.js';
-import { ConnectionCounts, type ConnectionKind } from './connection-counts.js';
+import { type ConnectionKind, ConnectionTable } from './connection-table.js';
 import { readBody } from './request-body.js';
 import { type Handlers, type Route, Routes } from './routes.js';
 
@@ -30,6 +30,8 @@
   openUserRequests: number;
   /** Connections that were closed at once since the last report, because the limit was reached. */
   droppedConnections: number;
+  /** Idle connections that were closed to make room since the last report. */
+  closedIdleConnections: number;
   /** Answers since the last report, by who asked and status. */
   answers: Readonly<Record<string, number>>;
 }
@@ -40,10 +42,9 @@
   private readonly routes: Routes;
   /** Users' requests that are being read or handled. */
   private openUserRequests = 0;
-  private readonly connections = new ConnectionCounts();
+  private readonly connections: ConnectionTable;
   private droppedConnections = 0;
   private readonly answers = new EventCounts();
-  private readonly maxWorkerConnections: number;
 
   constructor(
     handlers: Handlers,
@@ -52,7 +53,7 @@
     maxSockets: number,
   ) {
     this.routes = new Routes(handlers);
-    this.maxWorkerConnections = Math.floor(maxSockets * WORKER_CONNECTION_SHARE);
+    this.connections = new ConnectionTable(maxSockets);
     this.server = createServer(
       { requestTimeout: REQUEST_TIMEOUT_MS, headersTimeout: REQUEST_TIMEOUT_MS },
       (request, response) => this.serve(request, response),
@@ -73,7 +74,7 @@
   listen(host: string, port: number, signal: AbortSignal): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
-      this.server.listen(port, host, () => resolve());
+      this.server.listen({ port, host, backlog: LISTEN_BACKLOG }, () => resolve());
       signal.addEventListener('abort', () => {
         this.server.close();
         this.server.closeAllConnections();
@@ -94,6 +95,7 @@
       connections: this.connections.current(),
       openUserRequests,
       droppedConnections,
+      closedIdleConnections: this.connections.takeClosedIdleCount(),
       answers: this.answers.take(),
     };
   }
@@ -105,9 +107,7 @@
       this.respond(response, 'unused', NO_SUCH_PATH);
       return;
     }
-    this.connections.used(request.socket, route.connectionKind);
-    const isWorker = route.connectionKind === 'worker';
-    if (isWorker && this.connections.workerCount > this.maxWorkerConnections) response.shouldKeepAlive = false;
+    this.connections.requestReceived(request.socket, route.connectionKind);
     const refusal = this.refusalFor(route, request.method);
     if (refusal !== undefined) {
       request.resume();
@@ -175,7 +175,9 @@
   /** `onSent`: called when the response has been handed to the socket; if given, the connection is closed afterwards. */
   private respond(response: ServerResponse, kind: ConnectionKind, answer: JsonResponse, onSent?: () => void): void {
     this.answers.record(`${kind} ${answer.status}`);
+    if (!this.connections.mayKeepAlive(kind)) response.shouldKeepAlive = false;
     send(response, answer, onSent);
+    this.connections.answered(response.req.socket);
   }
 
   private logFailure(error: unknown): JsonResponse {
--- a/src/api/routes.ts
+++ b/src/api/routes.ts
@@ -1,6 +1,6 @@
 /** Maps the path of a request to its method and handler. */
 import type { JsonResponse } from '../net/json-response.js';
-import type { ConnectionKind } from './connection-counts.js';
+import type { ConnectionKind } from './connection-table.js';
 
 /** The handlers of requests from users, workers and health checks. */
 export interface Handlers {
--- a/src/constants/api.ts
+++ b/src/constants/api.ts
@@ -41,7 +41,13 @@
 export const HTTP_CLIENT_SOCKET_SHARE = 0.25;
 
 /**
- * Share of the connections from users and workers that workers may keep open: a worker beyond it gets its answer and then
- * reconnects for its next heartbeat, and users and health checks find room.
+ * Shares of the server's connections up to which an answered request leaves its connection open, by who sent it: beyond them
+ * workers connect for each heartbeat, and users for each request.
  */
-export const WORKER_CONNECTION_SHARE = 0.85;
+export const KEEP_ALIVE_CONNECTION_SHARE = { worker: 0.7, user: 0.85 } as const;
+
+/** Share of the server's connections beyond which a new one closes an idle one. */
+export const OCCUPIED_CONNECTION_SHARE = 0.95;
+
+/** Connections that the system may hold for the server until it accepts them: a few thousand workers that reconnect at once. */
+export const LISTEN_BACKLOG = 4096;
--- a/test/api/connection-limits.test.ts
+++ b/test/api/connection-limits.test.ts
@@ -11,6 +11,9 @@
 
 const MAX_SOCKETS = 40;
 const TIMEOUT_MS = 4000;
+/** The load balancer's time limit of a health check. */
+const HEALTH_CHECK_MS = 1000;
+const SIMULTANEOUS_CONNECTIONS = 1000;
 
 describe('a server with more clients than sockets', () => {
   let stop: AbortController;
@@ -22,6 +25,10 @@
     stop = new AbortController();
     connections = [];
     sockets = [];
+    await startServer(MAX_SOCKETS);
+  });
+
+  async function startServer(maxSockets: number): Promise<void> {
     const unexpected = () => assert.fail('unexpected request');
     const handlers = {
       ...{ submit: unexpected, cancel: unexpected },
@@ -29,11 +36,11 @@
       answerHeartbeat: () => ({ status: 200, body: {} }),
       answerHealthCheck: () => ({ status: 200, body: {} }),
     };
-    const server = new ApiServer(handlers, noLog, new RefusalLog(() => 0, noLog), MAX_SOCKETS);
+    const server = new ApiServer(handlers, noLog, new RefusalLog(() => 0, noLog), maxSockets);
     address = await freeAddress();
     const { host, port } = parseAddress(address);
     await server.listen(host, port, stop.signal);
-  });
+  }
 
   afterEach(() => {
     for (const connection of connections) connection.close();
@@ -41,11 +48,15 @@
     stop.abort();
   });
 
-  const statusOf = async (method: 'GET' | 'POST', path: string): Promise<number | undefined> => {
+  const statusOf = async (
+    method: 'GET' | 'POST',
+    path: string,
+    timeoutMs = TIMEOUT_MS,
+  ): Promise<number | undefined> => {
     const connection = new KeepAliveConnection();
     connections.push(connection);
     const body = method === 'POST' ? {} : undefined;
-    return (await connection.send({ address, method, path, body, timeoutMs: TIMEOUT_MS }))?.status;
+    return (await connection.send({ address, method, path, body, timeoutMs }))?.status;
   };
 
   async function statusesOf(count: number, method: 'GET' | 'POST', path: string): Promise<Set<number | undefined>> {
@@ -85,4 +96,15 @@
     const probe = await statusOf('GET', '/up');
     assert.equal(probe, 200);
   });
+
+  it('answers a health check in time although workers connect at once, as after the loss of other controllers', async () => {
+    await startServer(2 * SIMULTANEOUS_CONNECTIONS);
+    for (let n = 0; n < SIMULTANEOUS_CONNECTIONS; n++) {
+      const socket = connect(parseAddress(address));
+      socket.on('error', () => undefined);
+      sockets.push(socket);
+    }
+    const probe = await statusOf('GET', '/up', HEALTH_CHECK_MS);
+    assert.equal(probe, 200);
+  });
 });
