Serve answers first: health checks, then queries and heartbeats, then long work

The load balancer removed the controller, all users went to the next one, where 200 open requests of all kinds were the limit, and it was overrun in turn.

RequestQueue gives one order: connections are accepted and health checks answered first, then queries and heartbeats in turn, and long work goes on when none waits or after 400 ms. Queries no longer share their limit of open requests with submissions, both limits derive from the sockets, and a query whose user has left ends. Reads for queries have a rank of their own at the store, ahead of writes that can wait; queries about more jobs than one comparison holds cost one refresh.

--- a/src/api/job-lookup.ts
+++ b/src/api/job-lookup.ts
@@ -27,6 +27,8 @@
   | 'store_refused'
   /** The user is about to give up. */
   | 'deadline_exceeded'
+  /** The user has disconnected. */
+  | 'user_left'
   /** The records changed at each attempt to confirm them. */
   | 'records_changed'
   /** This node can't tell whether a job that it depends on is cancelled. */
@@ -103,9 +105,13 @@
     return this.reader.read(jobId).kind !== 'missing';
   }
 
-  /** The status as confirmed by the store; waits briefly to share requests with other lookups. */
-  find(jobId: string): Promise<LookupResult> {
+  /**
+   * The status as confirmed by the store; waits briefly to share requests with other lookups. No further request is sent for it
+   * once `userLeft` is aborted.
+   */
+  find(jobId: string, userLeft?: AbortSignal): Promise<LookupResult> {
     return this.start(jobId, (lookup) => {
+      userLeft?.addEventListener('abort', () => this.refuse([lookup], 'user_left'), { once: true });
       this.pending.push(lookup);
       void this.confirmPendingAfterDelay();
     });
@@ -148,13 +154,20 @@
     this.confirm(lookups);
   }
 
-  /** Jobs that wait need the whole replica; while it is refreshed for them, it also confirms the other live jobs. */
+  /**
+   * One request confirms all known jobs: a comparison if they fit into one, otherwise a refresh of the replica. Jobs that wait need
+   * the whole replica in any case.
+   */
   private confirm(lookups: readonly PendingLookup[]): void {
     const undecided = this.completeDecided(lookups);
-    const mustRefresh = undecided.some(isWaiting);
-    const isRefreshed = (each: UndecidedLookup): boolean => mustRefresh && each.reading.kind !== 'missing';
-    void this.confirmByRefresh(lookupsOf(undecided.filter(isRefreshed)));
-    this.confirmByComparisons(undecided.filter((each) => !isRefreshed(each)));
+    const known = undecided.filter(({ reading }) => reading.kind !== 'missing');
+    const missing = undecided.filter(({ reading }) => reading.kind === 'missing');
+    if (known.some(isWaiting) || known.length > this.comparison.maxJobs) {
+      void this.confirmByRefresh(lookupsOf(known));
+      this.confirmByComparisons(missing);
+    } else {
+      this.confirmByComparisons(undecided);
+    }
   }
 
   /** Completes the lookups that need no further request, and returns the others. */
@@ -182,7 +195,7 @@
     if (lookups.length === 0) return;
     const { replica, states } = this.dependencies;
     const latestStartMs = Math.max(...lookups.map(({ startedAtMs }) => startedAtMs));
-    if (!(await replica.refreshSince(latestStartMs, Priority.record))) return this.refuse(lookups, 'store_refused');
+    if (!(await replica.refreshSince(latestStartMs, Priority.read))) return this.refuse(lookups, 'store_refused');
     const undecided = this.completeDecided(lookups);
     await states.loadFinalStates([...new Set(undecided.flatMap(jobsInUnknownState))]);
     const remaining = this.completeDecided(lookupsOf(undecided));
--- a/src/api/routes.ts
+++ b/src/api/routes.ts
@@ -7,22 +7,26 @@
   /** Submission of a job. */
   submit(body: unknown): Promise<JsonResponse>;
   /** Status of a job. */
-  poll(jobId: string): Promise<JsonResponse>;
+  poll(jobId: string, userLeft: AbortSignal): Promise<JsonResponse>;
   cancel(jobId: string): Promise<JsonResponse>;
   answerHeartbeat(body: unknown): JsonResponse | Promise<JsonResponse>;
   answerHealthCheck(): JsonResponse;
 }
 
+/** Requests of users, whose number in progress is limited by kind: `change` stands for submissions and cancellations. */
+export type UserRequestKind = 'query' | 'change';
+
 /** How one path is served. */
 export interface Route {
   method: 'GET' | 'POST';
-  /** True for users' requests, whose number in progress is limited; heartbeats and health checks are always handled. */
-  isConcurrencyLimited: boolean;
+  /** undefined: heartbeats and health checks, which are always handled. */
+  userRequestKind: UserRequestKind | undefined;
   /** Who sends such requests. */
   connectionKind: ConnectionKind;
   /** The handler takes the request's JSON body; otherwise the body is discarded. */
   readsBody: boolean;
-  handle(body: unknown): JsonResponse | Promise<JsonResponse>;
+  /** `userLeft` is aborted when the client disconnects before it has got its answer. */
+  handle(body: unknown, userLeft: AbortSignal): JsonResponse | Promise<JsonResponse>;
 }
 
 const JOBS_PATH = '/v1/jobs';
@@ -38,7 +42,7 @@
         '/hello',
         {
           method: 'POST',
-          isConcurrencyLimited: false,
+          userRequestKind: undefined,
           connectionKind: 'worker',
           readsBody: true,
           handle: (body) => handlers.answerHeartbeat(body),
@@ -48,7 +52,7 @@
         '/up',
         {
           method: 'GET',
-          isConcurrencyLimited: false,
+          userRequestKind: undefined,
           connectionKind: 'probe',
           readsBody: false,
           handle: () => handlers.answerHealthCheck(),
@@ -58,7 +62,7 @@
         JOBS_PATH,
         {
           method: 'POST',
-          isConcurrencyLimited: true,
+          userRequestKind: 'change',
           connectionKind: 'user',
           readsBody: true,
           handle: (body) => handlers.submit(body),
@@ -82,17 +86,17 @@
     return isCancellation
       ? {
           method: 'POST',
-          isConcurrencyLimited: true,
+          userRequestKind: 'change',
           connectionKind: 'user',
           readsBody: false,
           handle: () => this.handlers.cancel(jobId),
         }
       : {
           method: 'GET',
-          isConcurrencyLimited: true,
+          userRequestKind: 'query',
           connectionKind: 'user',
           readsBody: false,
-          handle: () => this.handlers.poll(jobId),
+          handle: (_body, userLeft) => this.handlers.poll(jobId, userLeft),
         };
   }
 }
--- a/src/scheduling/rescheduler.ts
+++ b/src/scheduling/rescheduler.ts
@@ -10,7 +10,7 @@
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
 import { Priority } from '../net/token-bucket.js';
-import { WorkTurns } from '../net/work-turns.js';
+import { WorkTurns, type WorkTurnsOptions } from '../net/work-turns.js';
 import type { ClusterState } from '../records/cluster-state.js';
 import { markForStop } from '../records/placement-mutations.js';
 import type { TransactionBatcher } from '../store/transaction-batcher.js';
@@ -31,6 +31,7 @@
   clock: Clock;
   random: Random;
   invariants: Invariants;
+  requests: WorkTurnsOptions['requests'];
   log: Log;
 }
 
@@ -39,8 +40,8 @@
   private readonly turns: WorkTurns;
 
   constructor(private readonly dependencies: ReschedulerDependencies) {
-    const { clock, invariants } = dependencies;
-    this.turns = new WorkTurns({ work: 're-matching', clock, invariants });
+    const { clock, invariants, requests } = dependencies;
+    this.turns = new WorkTurns({ work: 're-matching', clock, invariants, requests });
   }
 
   /** Checks until the signal aborts. The interval is jittered, so that the controllers don't all re-match at the same time. */
--- a/test/api/connection-limits.test.ts
+++ b/test/api/connection-limits.test.ts
@@ -5,6 +5,8 @@
 import { ApiServer } from '../../src/api/api-server.js';
 import { RefusalLog } from '../../src/logging/refusal-log.js';
 import { parseAddress } from '../../src/net/address.js';
+import { systemClock } from '../../src/net/clock.js';
+import { RequestQueue } from '../../src/net/request-queue.js';
 import { noLog } from '../../testing/fixtures.js';
 import { KeepAliveConnection } from '../../testing/keep-alive-connection.js';
 import { freeAddress } from '../../testing/loopback-server.js';
@@ -36,7 +38,9 @@
       answerHeartbeat: () => ({ status: 200, body: {} }),
       answerHealthCheck: () => ({ status: 200, body: {} }),
     };
-    const server = new ApiServer(handlers, noLog, new RefusalLog(() => 0, noLog), maxSockets);
+    const refusals = new RefusalLog(() => 0, noLog);
+    const requests = new RequestQueue(systemClock);
+    const server = new ApiServer(handlers, { log: noLog, refusals, requests, maxSockets });
     address = await freeAddress();
     const { host, port } = parseAddress(address);
     await server.listen(host, port, stop.signal);
