--- a/src/api/api-server.ts
+++ b/src/api/api-server.ts
@@ -4,6 +4,7 @@
 
 import { KEEP_ALIVE_MS, LISTEN_BACKLOG, REQUEST_TIMEOUT_MS, RETRY_AFTER_S } from '../constants/api.js';
 import { EventCounts } from '../logging/event-counts.js';
+import type { Invariants } from '../logging/invariants.js';
 import type { Log } from '../logging/log.js';
 import type { RefusalLog } from '../logging/refusal-log.js';
 import type { JsonResponse } from '../net/json-response.js';
@@ -25,6 +26,7 @@
   log: Log;
   refusals: RefusalLog;
   requests: RequestQueue;
+  invariants: Invariants;
   /** Maximum of open connections. */
   maxSockets: number;
 }
@@ -55,11 +57,13 @@
   private readonly log: Log;
   private readonly refusals: RefusalLog;
   private readonly requests: RequestQueue;
+  private readonly invariants: Invariants;
 
-  constructor(handlers: Handlers, { log, refusals, requests, maxSockets }: ApiServerOptions) {
+  constructor(handlers: Handlers, { log, refusals, requests, invariants, maxSockets }: ApiServerOptions) {
     this.log = log;
     this.refusals = refusals;
     this.requests = requests;
+    this.invariants = invariants;
     this.routes = new Routes(handlers);
     this.connections = new ConnectionTable(maxSockets);
     this.openRequests = new OpenRequests(maxSockets);
@@ -75,7 +79,7 @@
       this.connections.opened(socket);
       this.requests.connectionAccepted();
     });
-    this.server.on('drop', () => this.droppedConnections++);
+    this.server.on('drop', () => this.connectionDropped());
     this.server.on('clientError', (_error, socket) => {
       if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
       else socket.destroy();
@@ -112,6 +116,13 @@
     };
   }
 
+  private connectionDropped(): void {
+    this.droppedConnections++;
+    const { idleCount } = this.connections;
+    if (idleCount > 0)
+      this.invariants.violated('no connection is dropped while an idle one could be closed', { idleCount });
+  }
+
   private serve(request: IncomingMessage, response: ServerResponse): void {
     const route = this.routes.find(request.url ?? '/');
     if (route === undefined) {
--- a/src/net/request-queue.ts
+++ b/src/net/request-queue.ts
@@ -11,9 +11,15 @@
 
 const nextIteration = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
 
+/** A request that waits; all times are monotonic ms. */
+interface WaitingRequest {
+  addedAtMs: number;
+  handle: () => void;
+}
+
 /** Requests of users and workers that have been read and are not handled yet. */
 export class RequestQueue {
-  private readonly waiting: Readonly<Record<WaitingClient, (() => void)[]>> = { user: [], worker: [] };
+  private readonly waiting: Readonly<Record<WaitingClient, WaitingRequest[]>> = { user: [], worker: [] };
   /** Whose turn it is next if both wait. */
   private nextClient: WaitingClient = 'user';
   private isServing = false;
@@ -22,6 +28,7 @@
   private acceptedBefore = 0;
   /** Monotonic ms at which requests were last served, or began to wait. */
   private servedAtMs = -Infinity;
+  private longestWaitMs = 0;
 
   constructor(private readonly clock: Clock) {}
 
@@ -32,10 +39,11 @@
 
   /** Calls `handle` once it is the request's turn. */
   add(client: WaitingClient, handle: () => void): void {
-    this.waiting[client].push(handle);
+    const addedAtMs = this.clock.now();
+    this.waiting[client].push({ addedAtMs, handle });
     if (this.isServing) return;
     this.isServing = true;
-    this.servedAtMs = this.clock.now();
+    this.servedAtMs = addedAtMs;
     setImmediate(() => this.serve());
   }
 
@@ -50,6 +58,13 @@
     } while ((this.acceptedCount !== acceptedBefore || this.isServing) && this.clock.now() < endsAtMs);
   }
 
+  /** Returns the longest wait of a request since the last call, ms. */
+  takeLongestWaitMs(): number {
+    const { longestWaitMs } = this;
+    this.longestWaitMs = 0;
+    return longestWaitMs;
+  }
+
   /** Runs once in an iteration of the event loop while requests wait. */
   private serve(): void {
     const now = this.clock.now();
@@ -64,14 +79,15 @@
   }
 
   private serveUntil(endsAtMs: number): void {
-    for (let handle = this.take(); handle !== undefined; handle = this.take()) {
-      handle();
+    for (let request = this.take(); request !== undefined; request = this.take()) {
+      this.longestWaitMs = Math.max(this.longestWaitMs, this.clock.now() - request.addedAtMs);
+      request.handle();
       if (this.clock.now() >= endsAtMs) return;
     }
   }
 
   /** Users and workers take turns, so that neither waits for a burst of the other. */
-  private take(): (() => void) | undefined {
+  private take(): WaitingRequest | undefined {
     const client = this.nextClient;
     const other = client === 'user' ? 'worker' : 'user';
     this.nextClient = other;
--- a/test/api/api-server.test.ts
+++ b/test/api/api-server.test.ts
@@ -6,6 +6,7 @@
 import { ApiServer } from '../../src/api/api-server.js';
 import type { Handlers } from '../../src/api/routes.js';
 import { MAX_BODY_BYTES, MAX_OPEN_REQUEST_SHARE } from '../../src/constants/api.js';
+import { Invariants } from '../../src/logging/invariants.js';
 import { RefusalLog } from '../../src/logging/refusal-log.js';
 import { systemClock } from '../../src/net/clock.js';
 import type { JsonResponse } from '../../src/net/json-response.js';
@@ -31,6 +32,7 @@
       log: noLog,
       refusals: new RefusalLog(() => systemClock.now(), noLog),
       requests: new RequestQueue(systemClock),
+      invariants: new Invariants(noLog),
       maxSockets: MAX_CONNECTIONS,
     },
   );
--- a/test/api/connection-limits.test.ts
+++ b/test/api/connection-limits.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, beforeEach, describe, it } from 'node:test';
 
 import { ApiServer } from '../../src/api/api-server.js';
+import { Invariants } from '../../src/logging/invariants.js';
 import { RefusalLog } from '../../src/logging/refusal-log.js';
 import { parseAddress } from '../../src/net/address.js';
 import { systemClock } from '../../src/net/clock.js';
@@ -22,11 +23,13 @@
   let address: string;
   let connections: KeepAliveConnection[];
   let sockets: Socket[];
+  let invariants: Invariants;
 
   beforeEach(async () => {
     stop = new AbortController();
     connections = [];
     sockets = [];
+    invariants = new Invariants(noLog);
     await startServer(MAX_SOCKETS);
   });
 
@@ -40,7 +43,7 @@
     };
     const refusals = new RefusalLog(() => 0, noLog);
     const requests = new RequestQueue(systemClock);
-    const server = new ApiServer(handlers, { log: noLog, refusals, requests, maxSockets });
+    const server = new ApiServer(handlers, { log: noLog, refusals, requests, invariants, maxSockets });
     address = await freeAddress();
     const { host, port } = parseAddress(address);
     await server.listen(host, port, stop.signal);
@@ -50,6 +53,7 @@
     for (const connection of connections) connection.close();
     for (const socket of sockets) socket.destroy();
     stop.abort();
+    assert.deepEqual(invariants.takeCounts(), {});
   });
 
   const statusOf = async (
--- a/test/net/request-queue.test.ts
+++ b/test/net/request-queue.test.ts
@@ -41,7 +41,13 @@
     const answer = () => ({ status: 200, body: {} });
     const server = new ApiServer(
       { submit: unexpected, cancel: unexpected, poll, answerHeartbeat: answer, answerHealthCheck: answer },
-      { log: noLog, refusals: new RefusalLog(() => 0, noLog), requests, maxSockets: 2000 },
+      {
+        log: noLog,
+        refusals: new RefusalLog(() => 0, noLog),
+        requests,
+        invariants: new Invariants(noLog),
+        maxSockets: 2000,
+      },
     );
     address = await freeAddress();
     const { host, port } = parseAddress(address);
