--- a/test/net/request-queue.test.ts
+++ b/test/net/request-queue.test.ts
@@ -15,6 +15,10 @@
 /** The load balancer's time limit of a health check. */
 const HEALTH_CHECK_MS = 1000;
 const TIMEOUT_MS = 10_000;
+/** Queries that take longer together than their users wait. */
+const OVERLOAD_QUERIES = 200;
+const OVERLOAD_QUERY_MS = 20;
+const OVERLOAD_TIMEOUT_MS = 1000;
 
 function keepBusy(ms: number): void {
   const endsAt = systemClock.now() + ms;
@@ -100,6 +104,49 @@
   });
 });
 
+describe('an overload', () => {
+  it('is over when its cause is: users who left cost nothing more, and the next query is answered at once', async () => {
+    const stop = new AbortController();
+    const requests = new RequestQueue(systemClock);
+    let handledCount = 0;
+    const poll = async () => {
+      handledCount++;
+      keepBusy(OVERLOAD_QUERY_MS);
+      return { status: 200, body: {} };
+    };
+    const unexpected = () => assert.fail('unexpected request');
+    const handlers = {
+      submit: unexpected,
+      cancel: unexpected,
+      answerHeartbeat: unexpected,
+      answerHealthCheck: unexpected,
+    };
+    const server = new ApiServer(
+      { ...handlers, poll },
+      {
+        ...{ log: noLog, refusals: new RefusalLog(() => 0, noLog), requests, invariants: new Invariants(noLog) },
+        maxSockets: 2000,
+      },
+    );
+    const address = await freeAddress();
+    const { host, port } = parseAddress(address);
+    await server.listen(host, port, stop.signal);
+    const path = '/v1/jobs/j-1';
+    const ask = async (timeoutMs: number) => {
+      const connection = new KeepAliveConnection();
+      const reply = await connection.send({ address, method: 'GET', path, timeoutMs });
+      connection.close();
+      return reply?.status;
+    };
+    const overload = await Promise.all(Array.from({ length: OVERLOAD_QUERIES }, () => ask(OVERLOAD_TIMEOUT_MS)));
+    const status = await ask(HEALTH_CHECK_MS);
+    stop.abort();
+    assert.ok(overload.includes(undefined), 'some users left');
+    assert.equal(status, 200);
+    assert.ok(handledCount < OVERLOAD_QUERIES, `${handledCount} queries handled`);
+  });
+});
+
 describe('requests that wait', () => {
   const nextIteration = () => new Promise((resolve) => setImmediate(resolve));
 
