--- a/test/api/query-precedence.test.ts
+++ b/test/api/query-precedence.test.ts
@@ -32,6 +32,8 @@
   it('cost one request to the store for all jobs that are asked about at the same time', async () => {
     const jobIds = await startWithJobs();
     cluster.network.addFault({ from: 'n1', to: 'store:1', path: new RegExp(`WaitMs=${WATCH_WAIT_MS}`), kind: 'lose' });
+    for (const link of ['n0>n1', 'n1>n0']) cluster.partitioned.add(link);
+    await cluster.advance(WATCH_WAIT_MS);
     const idleReads = await countIdleReads();
     const statuses = new Set<number>();
     const reads = await countReads(cluster, 1, async () => {
