--- a/src/api/api-server.ts
+++ b/src/api/api-server.ts
@@ -2,17 +2,20 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 
-import { KEEP_ALIVE_MS, LISTEN_BACKLOG, REQUEST_TIMEOUT_MS, RETRY_AFTER_S } from '../constants/api.js';
+import {
+  KEEP_ALIVE_MS,
+  LISTEN_BACKLOG,
+  MAX_OPEN_REQUESTS,
+  REQUEST_TIMEOUT_MS,
+  RETRY_AFTER_S,
+} from '../constants/api.js';
 import { EventCounts } from '../logging/event-counts.js';
-import type { Invariants } from '../logging/invariants.js';
 import type { Log } from '../logging/log.js';
 import type { RefusalLog } from '../logging/refusal-log.js';
 import type { JsonResponse } from '../net/json-response.js';
-import type { RequestQueue } from '../net/request-queue.js';
 import { type ConnectionKind, ConnectionTable } from './connection-table.js';
-import { OpenRequests } from './open-requests.js';
 import { readBody } from './request-body.js';
-import { type Handlers, type Route, Routes, type UserRequestKind } from './routes.js';
+import { type Handlers, type Route, Routes } from './routes.js';
 
 const NO_SUCH_PATH: JsonResponse = { status: 404, body: { error: 'no such path' } };
 const WRONG_METHOD: JsonResponse = { status: 405, body: { error: 'wrong method' } };
@@ -21,22 +24,10 @@
 const TOO_LARGE: JsonResponse = { status: 400, body: { error: 'body over 64 KiB' } };
 const INTERNAL_ERROR: JsonResponse = { status: 503, body: { error: 'internal' }, retryAfter: RETRY_AFTER_S };
 
-/** Logs, the queue of requests that wait, and the limit on connections. */
-export interface ApiServerOptions {
-  log: Log;
-  refusals: RefusalLog;
-  requests: RequestQueue;
-  invariants: Invariants;
-  /** Maximum of open connections. */
-  maxSockets: number;
-}
-
-const NEVER = new AbortController().signal;
-
 /** Connections and requests of the server at one moment. */
 export interface ApiServerStatus {
   connections: Readonly<Record<ConnectionKind, number>>;
-  openRequests: Readonly<Record<UserRequestKind, number>>;
+  openUserRequests: number;
   /** Connections that were closed at once since the last report, because the limit was reached. */
   droppedConnections: number;
   /** Idle connections that were closed to make room since the last report. */
@@ -45,28 +36,24 @@
   answers: Readonly<Record<string, number>>;
 }
 
-/** Routes requests to their handlers, and keeps room for those of health checks and users. */
+/** Routes requests to their handlers. Limits the number of open users' requests, so that memory use is bounded. */
 export class ApiServer {
   private readonly server: Server;
   private readonly routes: Routes;
-  private readonly openRequests: OpenRequests;
+  /** Users' requests that are being read or handled. */
+  private openUserRequests = 0;
   private readonly connections: ConnectionTable;
   private droppedConnections = 0;
   private readonly answers = new EventCounts();
 
-  private readonly log: Log;
-  private readonly refusals: RefusalLog;
-  private readonly requests: RequestQueue;
-  private readonly invariants: Invariants;
-
-  constructor(handlers: Handlers, { log, refusals, requests, invariants, maxSockets }: ApiServerOptions) {
-    this.log = log;
-    this.refusals = refusals;
-    this.requests = requests;
-    this.invariants = invariants;
+  constructor(
+    handlers: Handlers,
+    private readonly log: Log,
+    private readonly refusals: RefusalLog,
+    maxSockets: number,
+  ) {
     this.routes = new Routes(handlers);
     this.connections = new ConnectionTable(maxSockets);
-    this.openRequests = new OpenRequests(maxSockets);
     this.server = createServer(
       { requestTimeout: REQUEST_TIMEOUT_MS, headersTimeout: REQUEST_TIMEOUT_MS },
       (request, response) => this.serve(request, response),
@@ -75,11 +62,8 @@
     this.server.keepAliveTimeout = 0;
     this.server.timeout = KEEP_ALIVE_MS;
     this.server.maxConnections = maxSockets;
-    this.server.on('connection', (socket) => {
-      this.connections.opened(socket);
-      this.requests.connectionAccepted();
-    });
-    this.server.on('drop', () => this.connectionDropped());
+    this.server.on('connection', (socket) => this.connections.opened(socket));
+    this.server.on('drop', () => this.droppedConnections++);
     this.server.on('clientError', (_error, socket) => {
       if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
       else socket.destroy();
@@ -105,24 +89,17 @@
 
   /** The connections, and what was dropped since the last call. */
   takeStatus(): ApiServerStatus {
-    const { droppedConnections } = this;
+    const { openUserRequests, droppedConnections } = this;
     this.droppedConnections = 0;
     return {
       connections: this.connections.current(),
-      openRequests: this.openRequests.current(),
+      openUserRequests,
       droppedConnections,
       closedIdleConnections: this.connections.takeClosedIdleCount(),
       answers: this.answers.take(),
     };
   }
 
-  private connectionDropped(): void {
-    this.droppedConnections++;
-    const { idleCount } = this.connections;
-    if (idleCount > 0)
-      this.invariants.violated('no connection is dropped while an idle one could be closed', { idleCount });
-  }
-
   private serve(request: IncomingMessage, response: ServerResponse): void {
     const route = this.routes.find(request.url ?? '/');
     if (route === undefined) {
@@ -137,18 +114,18 @@
       this.respond(response, route.connectionKind, refusal);
       return;
     }
-    const release = this.trackOpenRequest(route, request);
+    const release = route.isConcurrencyLimited ? this.trackOpenRequest(request) : undefined;
     if (!route.readsBody) {
       request.resume();
-      this.handleInTurn(route, () => this.handle(route, undefined, response, release));
+      this.handle(route, undefined, response, release);
       return;
     }
     readBody(request, (body) => {
       if (body.kind === 'json') {
-        this.handleInTurn(route, () => this.handle(route, body.value, response, release));
+        this.handle(route, body.value, response, release);
         return;
       }
-      release();
+      release?.();
       if (body.kind === 'malformed') this.respond(response, route.connectionKind, NOT_JSON);
       else this.respond(response, route.connectionKind, TOO_LARGE, () => request.destroy());
     });
@@ -156,63 +133,45 @@
 
   private refusalFor(route: Route, method: string | undefined): JsonResponse | undefined {
     if (route.method !== method) return WRONG_METHOD;
-    const { userRequestKind } = route;
-    if (userRequestKind === undefined || !this.openRequests.isFull(userRequestKind)) return undefined;
-    this.refusals.record({ kind: userRequestKind, reason: 'too_many_requests' });
+    if (!route.isConcurrencyLimited || this.openUserRequests < MAX_OPEN_REQUESTS) return undefined;
+    this.refusals.record({ kind: 'request', reason: 'too_many_requests' });
     return BUSY;
   }
 
   /** Counts a request as open until the returned function is called, or its sender disconnects before it has been read. */
-  private trackOpenRequest({ userRequestKind }: Route, request: IncomingMessage): () => void {
-    if (userRequestKind === undefined) return () => undefined;
-    const release = this.openRequests.begin(userRequestKind);
+  private trackOpenRequest(request: IncomingMessage): () => void {
+    let isOpen = true;
+    this.openUserRequests++;
+    const release = () => {
+      if (isOpen) this.openUserRequests--;
+      isOpen = false;
+    };
     request.on('close', () => {
       if (!request.complete) release();
     });
     return release;
   }
 
-  /** Health checks are handled at once, all other requests in the order of the queue. */
-  private handleInTurn({ connectionKind }: Route, handle: () => void): void {
-    if (connectionKind === 'user' || connectionKind === 'worker') this.requests.add(connectionKind, handle);
-    else handle();
-  }
-
-  private handle(route: Route, body: unknown, response: ServerResponse, release: () => void): void {
-    if (response.destroyed) {
-      release();
-      return;
-    }
+  private handle(route: Route, body: unknown, response: ServerResponse, release: (() => void) | undefined): void {
     let answer: JsonResponse | Promise<JsonResponse>;
     try {
-      answer = route.handle(body, this.departureOf(route, response, release));
+      answer = route.handle(body);
     } catch (error) {
       answer = this.logFailure(error);
     }
     if (!(answer instanceof Promise)) {
-      release();
+      release?.();
       this.respond(response, route.connectionKind, answer);
       return;
     }
     void answer
       .catch((error: unknown) => this.logFailure(error))
       .then((settled) => {
-        release();
+        release?.();
         this.respond(response, route.connectionKind, settled);
       });
   }
 
-  /** A query ends when its user disconnects; a submission or cancellation may already be on its way to the store. */
-  private departureOf({ userRequestKind }: Route, response: ServerResponse, release: () => void): AbortSignal {
-    if (userRequestKind !== 'query') return NEVER;
-    const userLeft = new AbortController();
-    response.on('close', () => {
-      release();
-      userLeft.abort();
-    });
-    return userLeft.signal;
-  }
-
   /** `onSent`: called when the response has been handed to the socket; if given, the connection is closed afterwards. */
   private respond(response: ServerResponse, kind: ConnectionKind, answer: JsonResponse, onSent?: () => void): void {
     this.answers.record(`${kind} ${answer.status}`);
--- a/src/api/connection-table.ts
+++ b/src/api/connection-table.ts
@@ -80,11 +80,6 @@
     this.counts[kind]--;
   }
 
-  /** The number of connections that could be closed without harm to a request. */
-  get idleCount(): number {
-    return this.idle.worker.size + this.idle.user.size;
-  }
-
   /** The number of open connections of each kind. */
   current(): Readonly<Record<ConnectionKind, number>> {
     return { ...this.counts };
--- a/src/api/job-lookup.ts
+++ b/src/api/job-lookup.ts
@@ -27,8 +27,6 @@
   | 'store_refused'
   /** The user is about to give up. */
   | 'deadline_exceeded'
-  /** The user has disconnected. */
-  | 'user_left'
   /** The records changed at each attempt to confirm them. */
   | 'records_changed'
   /** This node can't tell whether a job that it depends on is cancelled. */
@@ -105,13 +103,9 @@
     return this.reader.read(jobId).kind !== 'missing';
   }
 
-  /**
-   * The status as confirmed by the store; waits briefly to share requests with other lookups. No further request is sent for it
-   * once `userLeft` is aborted.
-   */
-  find(jobId: string, userLeft?: AbortSignal): Promise<LookupResult> {
+  /** The status as confirmed by the store; waits briefly to share requests with other lookups. */
+  find(jobId: string): Promise<LookupResult> {
     return this.start(jobId, (lookup) => {
-      userLeft?.addEventListener('abort', () => this.refuse([lookup], 'user_left'), { once: true });
       this.pending.push(lookup);
       void this.confirmPendingAfterDelay();
     });
@@ -154,20 +148,13 @@
     this.confirm(lookups);
   }
 
-  /**
-   * One request confirms all known jobs: a comparison if they fit into one, otherwise a refresh of the replica. Jobs that wait need
-   * the whole replica in any case.
-   */
+  /** Jobs that wait need the whole replica; while it is refreshed for them, it also confirms the other live jobs. */
   private confirm(lookups: readonly PendingLookup[]): void {
     const undecided = this.completeDecided(lookups);
-    const known = undecided.filter(({ reading }) => reading.kind !== 'missing');
-    const missing = undecided.filter(({ reading }) => reading.kind === 'missing');
-    if (known.some(isWaiting) || known.length > this.comparison.maxJobs) {
-      void this.confirmByRefresh(lookupsOf(known));
-      this.confirmByComparisons(missing);
-    } else {
-      this.confirmByComparisons(undecided);
-    }
+    const mustRefresh = undecided.some(isWaiting);
+    const isRefreshed = (each: UndecidedLookup): boolean => mustRefresh && each.reading.kind !== 'missing';
+    void this.confirmByRefresh(lookupsOf(undecided.filter(isRefreshed)));
+    this.confirmByComparisons(undecided.filter((each) => !isRefreshed(each)));
   }
 
   /** Completes the lookups that need no further request, and returns the others. */
@@ -195,7 +182,7 @@
     if (lookups.length === 0) return;
     const { replica, states } = this.dependencies;
     const latestStartMs = Math.max(...lookups.map(({ startedAtMs }) => startedAtMs));
-    if (!(await replica.refreshSince(latestStartMs, Priority.read))) return this.refuse(lookups, 'store_refused');
+    if (!(await replica.refreshSince(latestStartMs, Priority.record))) return this.refuse(lookups, 'store_refused');
     const undecided = this.completeDecided(lookups);
     await states.loadFinalStates([...new Set(undecided.flatMap(jobsInUnknownState))]);
     const remaining = this.completeDecided(lookupsOf(undecided));
--- a/src/api/job-service.ts
+++ b/src/api/job-service.ts
@@ -59,8 +59,8 @@
   }
 
   /** The status of a job. */
-  async poll(jobId: string, userLeft?: AbortSignal): Promise<JsonResponse> {
-    return this.statusOrElse(jobId, noSuchJob(), userLeft);
+  async poll(jobId: string): Promise<JsonResponse> {
+    return this.statusOrElse(jobId, noSuchJob());
   }
 
   /** 200 with the state in which the job has ended or will end. Idempotent. */
@@ -85,8 +85,8 @@
   }
 
   /** The status of the job if it is known, otherwise `fallback`. */
-  private async statusOrElse(jobId: string, fallback: JsonResponse, userLeft?: AbortSignal): Promise<JsonResponse> {
-    const result = await this.dependencies.lookup.find(jobId, userLeft);
+  private async statusOrElse(jobId: string, fallback: JsonResponse): Promise<JsonResponse> {
+    const result = await this.dependencies.lookup.find(jobId);
     switch (result.kind) {
       case 'found':
         return statusResponse(result.status);
--- a/src/api/record-comparison.ts
+++ b/src/api/record-comparison.ts
@@ -38,7 +38,7 @@
 
   /** Compares the records of up to `maxJobs` jobs. */
   async compare(jobIds: readonly string[]): Promise<ComparisonOutcome> {
-    const result = await this.dependencies.client.transact(this.conditionsFor(jobIds), [], Priority.read);
+    const result = await this.dependencies.client.transact(this.conditionsFor(jobIds), [], Priority.record);
     if (result.kind === 'done') return { kind: 'equal', revision: result.revision };
     if (result.kind !== 'conflict') return { kind: 'unavailable' };
     await Promise.all(result.failed.map((key) => this.readAgain(key)));
@@ -54,7 +54,7 @@
   private async readAgain(key: string): Promise<void> {
     const { client, transactions, replica } = this.dependencies;
     try {
-      const row = await client.get(key, Priority.read);
+      const row = await client.get(key, Priority.record);
       if (key.startsWith(FINAL_JOB_PREFIX)) transactions.cacheFinalRecord(key, row);
       else if (row.value !== undefined) replica.apply({ key, ...row });
       else if (row.revision !== undefined) replica.apply({ key, value: undefined, modRevision: row.revision });
--- a/src/api/routes.ts
+++ b/src/api/routes.ts
@@ -7,26 +7,22 @@
   /** Submission of a job. */
   submit(body: unknown): Promise<JsonResponse>;
   /** Status of a job. */
-  poll(jobId: string, userLeft: AbortSignal): Promise<JsonResponse>;
+  poll(jobId: string): Promise<JsonResponse>;
   cancel(jobId: string): Promise<JsonResponse>;
   answerHeartbeat(body: unknown): JsonResponse | Promise<JsonResponse>;
   answerHealthCheck(): JsonResponse;
 }
 
-/** Requests of users, whose number in progress is limited by kind: `change` stands for submissions and cancellations. */
-export type UserRequestKind = 'query' | 'change';
-
 /** How one path is served. */
 export interface Route {
   method: 'GET' | 'POST';
-  /** undefined: heartbeats and health checks, which are always handled. */
-  userRequestKind: UserRequestKind | undefined;
+  /** True for users' requests, whose number in progress is limited; heartbeats and health checks are always handled. */
+  isConcurrencyLimited: boolean;
   /** Who sends such requests. */
   connectionKind: ConnectionKind;
   /** The handler takes the request's JSON body; otherwise the body is discarded. */
   readsBody: boolean;
-  /** `userLeft` is aborted when the client disconnects before it has got its answer. */
-  handle(body: unknown, userLeft: AbortSignal): JsonResponse | Promise<JsonResponse>;
+  handle(body: unknown): JsonResponse | Promise<JsonResponse>;
 }
 
 const JOBS_PATH = '/v1/jobs';
@@ -42,7 +38,7 @@
         '/hello',
         {
           method: 'POST',
-          userRequestKind: undefined,
+          isConcurrencyLimited: false,
           connectionKind: 'worker',
           readsBody: true,
           handle: (body) => handlers.answerHeartbeat(body),
@@ -52,7 +48,7 @@
         '/up',
         {
           method: 'GET',
-          userRequestKind: undefined,
+          isConcurrencyLimited: false,
           connectionKind: 'probe',
           readsBody: false,
           handle: () => handlers.answerHealthCheck(),
@@ -62,7 +58,7 @@
         JOBS_PATH,
         {
           method: 'POST',
-          userRequestKind: 'change',
+          isConcurrencyLimited: true,
           connectionKind: 'user',
           readsBody: true,
           handle: (body) => handlers.submit(body),
@@ -86,17 +82,17 @@
     return isCancellation
       ? {
           method: 'POST',
-          userRequestKind: 'change',
+          isConcurrencyLimited: true,
           connectionKind: 'user',
           readsBody: false,
           handle: () => this.handlers.cancel(jobId),
         }
       : {
           method: 'GET',
-          userRequestKind: 'query',
+          isConcurrencyLimited: true,
           connectionKind: 'user',
           readsBody: false,
-          handle: (_body, userLeft) => this.handlers.poll(jobId, userLeft),
+          handle: () => this.handlers.poll(jobId),
         };
   }
 }
--- a/src/autoscaling/cluster-leader.ts
+++ b/src/autoscaling/cluster-leader.ts
@@ -6,7 +6,7 @@
 import type { Invariants } from '../logging/invariants.js';
 import type { TeamAccounting } from '../records/team-accounting.js';
 import { EvictionMarker } from '../scheduling/eviction-marker.js';
-import { Preemptor, type PreemptorDependencies } from '../scheduling/preemptor.js';
+import { Preemptor } from '../scheduling/preemptor.js';
 import { Autoscaler, type AutoscalerDependencies } from './autoscaler.js';
 import { clusterStatus } from './cluster-status.js';
 import { IdleMachineDetector } from './idle-machine-detector.js';
@@ -22,7 +22,6 @@
   accounting: TeamAccounting;
   peerDirectory: PeerDirectory;
   invariants: Invariants;
-  requests: PreemptorDependencies['requests'];
 }
 
 /** Runs each duty periodically while this node is the cluster leader; on other nodes it only holds the advisory state. */
--- a/src/constants/api.ts
+++ b/src/constants/api.ts
@@ -15,11 +15,8 @@
 /** Maximum attempts to confirm the records of a poll by a transaction of conditions; records that have changed are read again. */
 export const MAX_POLL_ATTEMPTS = 3;
 
-/**
- * Maximum of users' requests in progress, as shares of the server's connections: more are refused with 429 at once. Each request
- * may take almost two seconds, and users ask about each job every five.
- */
-export const MAX_OPEN_REQUEST_SHARE = { query: 0.5, change: 0.2 } as const;
+/** Maximum of user requests in progress: more are refused with 429 at once, which bounds memory. */
+export const MAX_OPEN_REQUESTS = 200;
 
 /** Seconds in `Retry-After` when a request can't be accepted: the shortest wait that the protocol allows. */
 export const RETRY_AFTER_S = 1;
@@ -52,5 +49,5 @@
 /** Share of the server's connections beyond which a new one closes an idle one. */
 export const OCCUPIED_CONNECTION_SHARE = 0.95;
 
-/** Connections that the system may hold for the server until it accepts them: no more than it accepts in about a second. */
-export const LISTEN_BACKLOG = 1024;
+/** Connections that the system may hold for the server until it accepts them: a few thousand workers that reconnect at once. */
+export const LISTEN_BACKLOG = 4096;
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -22,7 +22,6 @@
 import type { HttpClient } from '../net/http-client.js';
 import type { JsonResponse } from '../net/json-response.js';
 import { Random } from '../net/random.js';
-import { RequestQueue } from '../net/request-queue.js';
 import type { ClusterState } from '../records/cluster-state.js';
 import type { Happiness } from '../scheduling/decisions/happiness.js';
 import type { PlacementPlanner } from '../scheduling/placement-planner.js';
@@ -78,7 +77,6 @@
       ...{ settings, tuning, http, clock, log },
       refusals: new RefusalLog(() => clock.now(), log),
       invariants: new Invariants(log),
-      requests: new RequestQueue(clock),
       random: new Random(seed),
       incarnation: randomInt(INCARNATION_BOUND),
       send: (node, message) => this.send(node, message),
@@ -186,9 +184,9 @@
 
   /** Serves users, workers and the other controllers until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    const { settings, log } = this.environment;
+    const { settings, log, refusals } = this.environment;
     const maxSockets = Math.floor(settings.cluster.sockets * HTTP_SERVER_SOCKET_SHARE);
-    const server = new ApiServer(this.createHandlers(), { ...this.environment, maxSockets });
+    const server = new ApiServer(this.createHandlers(), log, refusals, maxSockets);
     this.apiServer = server;
     const { host, port } = parseAddress(settings.apiAddress);
     await server.listen(host, port, signal);
@@ -201,7 +199,7 @@
   private createHandlers(): ConstructorParameters<typeof ApiServer>[0] {
     return {
       submit: (body) => this.jobs.submit(body),
-      poll: (jobId, userLeft) => this.jobs.poll(jobId, userLeft),
+      poll: (jobId) => this.jobs.poll(jobId),
       cancel: (jobId) => this.jobs.cancel(jobId),
       answerHeartbeat: (body) => this.answerHeartbeat(body),
       answerHealthCheck: () => this.answerHealthCheck(),
--- a/src/controller/environment.ts
+++ b/src/controller/environment.ts
@@ -8,7 +8,6 @@
 import type { Clock } from '../net/clock.js';
 import type { HttpClient } from '../net/http-client.js';
 import type { Random } from '../net/random.js';
-import type { RequestQueue } from '../net/request-queue.js';
 
 /** Settings, external interfaces and process-wide values of one controller. */
 export interface Environment {
@@ -20,8 +19,6 @@
   /** Records the requests that this node can't answer, with the reasons. */
   readonly refusals: RefusalLog;
   readonly invariants: Invariants;
-  /** Requests that wait to be handled by this process. */
-  readonly requests: RequestQueue;
   readonly random: Random;
   /** Distinguishes this process from earlier processes of the same node. */
   readonly incarnation: number;
--- a/src/controller/node-status.ts
+++ b/src/controller/node-status.ts
@@ -11,7 +11,6 @@
 import { EventLoopDelay } from '../net/event-loop-delay.js';
 import type { HttpClient } from '../net/http-client.js';
 import { runPeriodically } from '../net/periodic.js';
-import type { RequestQueue } from '../net/request-queue.js';
 import type { PlacementPlanner } from '../scheduling/placement-planner.js';
 import type { Replica } from '../store/replica.js';
 import type { StoreClient } from '../store/store-client.js';
@@ -26,7 +25,6 @@
   planner: PlacementPlanner;
   http: HttpClient;
   refusals: RefusalLog;
-  requests: RequestQueue;
   invariants: Invariants;
   /** undefined: the node serves no sockets. */
   apiServer: () => ApiServerStatus | undefined;
@@ -52,7 +50,7 @@
   }
 
   private logStatus(): void {
-    const { leadership, replica, client, planner, http, refusals, requests, invariants, apiServer, clock, log } =
+    const { leadership, replica, client, planner, http, refusals, invariants, apiServer, clock, log } =
       this.dependencies;
     const heap = getHeapStatistics();
     const status = {
@@ -60,7 +58,6 @@
       replicaRevision: replica.revision,
       replicaAgeMs: replica.isLoaded ? Math.round(clock.now() - replica.freshAt) : null,
       eventLoopDelayMs: Math.round(this.eventLoopDelay.takeLongestMs()),
-      requestWaitMs: Math.round(requests.takeLongestWaitMs()),
       longestPlanTurnMs: Math.round(planner.takeLongestTurnMs()),
       storeWaitMs: client.takeLongestWaits(),
       storeRequests: client.takeOutcomes(),
--- a/src/controller/scheduling-parts.ts
+++ b/src/controller/scheduling-parts.ts
@@ -26,8 +26,9 @@
   leadership: RoleLeadership,
   { inventory, happiness }: WorkerParts,
 ): SchedulingParts {
-  const { settings, tuning, http, clock } = environment;
+  const { settings, tuning, http, clock, log, random, invariants } = environment;
   const { cluster, cloudAddress } = settings;
+  const { clusterState, transactions } = records;
   const planner = new PlacementPlanner({ ...environment, ...records, leadership, inventory });
   const canSend = (call: Parameters<typeof maySend>[0]): boolean =>
     !tuning.standby.enabled || maySend(call, () => leadership.isClusterLeader);
@@ -38,7 +39,21 @@
     maySend: canSend,
   });
   const leader = new ClusterLeader({ ...environment, ...records, leadership, inventory, planner, cloud });
-  const rescheduler = new Rescheduler({ ...environment, ...records, leadership, inventory, planner, happiness });
+  const rescheduler = new Rescheduler({
+    ...{
+      tuning,
+      leadership,
+      clusterState,
+      inventory,
+      planner,
+      transactions,
+      happiness,
+      clock,
+      random,
+      invariants,
+      log,
+    },
+  });
   const teamSettlement = new TeamSettlement({ ...records, teams: cluster.teams, leadership });
   return { planner, leader, rescheduler, teamSettlement };
 }
--- a/src/jobs/dependency-states.ts
+++ b/src/jobs/dependency-states.ts
@@ -79,7 +79,7 @@
     if (inFlight !== undefined) return inFlight;
     const { client, transactions } = this.dependencies;
     const read = client
-      .get(finalJobKey(jobId), Priority.read)
+      .get(finalJobKey(jobId), Priority.start)
       .then((row) => transactions.cacheFinalRecord(finalJobKey(jobId), row))
       .catch(() => undefined)
       .finally(() => this.readsInFlight.delete(jobId));
--- a/src/net/token-bucket.ts
+++ b/src/net/token-bucket.ts
@@ -10,11 +10,11 @@
 import type { Clock } from './clock.js';
 
 /**
- * Priorities of requests: lower numbers go first, except as stated at `queueRankOf`. `read` is for users' queries and the watch of
- * the records; `accept` for accepting submissions; `start` for starting services and gangs, and for the evictions that make room
- * for them; `record` for exits of batch tasks; `background` for starts of batch tasks.
+ * Priorities of requests: lower numbers go first, except as stated at `queueRankOf`. `accept` is for accepting submissions;
+ * `start` for starting services and gangs, and for the evictions that make room for them; `record` for exits of batch tasks, and
+ * for reads; `background` for starts of batch tasks.
  */
-export const Priority = { lease: 0, cancel: 1, read: 2, accept: 3, start: 4, record: 5, background: 6 } as const;
+export const Priority = { lease: 0, cancel: 1, accept: 2, start: 3, record: 4, background: 5 } as const;
 /** One of the priorities. */
 export type Priority = (typeof Priority)[keyof typeof Priority];
 
@@ -24,7 +24,7 @@
  */
 const queueRankOf = (priority: Priority): number => Math.min(priority, Priority.record);
 
-/** Whether requests of the priority may wait: exits and starts of batch tasks. */
+/** Whether requests of the priority may wait: exits and starts of batch tasks, and reads. */
 export const isBatch = (priority: Priority): boolean => priority >= Priority.record;
 
 interface Waiter {
--- a/src/net/work-turns.ts
+++ b/src/net/work-turns.ts
@@ -2,7 +2,6 @@
 import { MAX_ALLOWED_TURN_MS, MAX_WORK_TURN_MS, WORK_TURN_PAUSE_MS } from '../constants/work-turns.js';
 import type { Invariants } from '../logging/invariants.js';
 import type { Clock } from './clock.js';
-import type { RequestQueue } from './request-queue.js';
 
 /** Which work is split, and where a turn that is far too long is reported. */
 export interface WorkTurnsOptions {
@@ -10,8 +9,6 @@
   work: string;
   clock: Clock;
   invariants: Invariants;
-  /** Requests that are served between two turns. */
-  requests: Pick<RequestQueue, 'untilServed'>;
 }
 
 /** The turns of one kind of work, of which only one piece runs at a time. All times are monotonic ms. */
@@ -38,7 +35,6 @@
   async next(): Promise<void> {
     this.finishTurn();
     await this.options.clock.sleep(WORK_TURN_PAUSE_MS);
-    await this.options.requests.untilServed();
     this.startedAtMs = this.options.clock.now();
   }
 
--- a/src/scheduling/placement-planner.ts
+++ b/src/scheduling/placement-planner.ts
@@ -14,7 +14,7 @@
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
 import { Priority } from '../net/token-bucket.js';
-import type { WorkTurns, WorkTurnsOptions } from '../net/work-turns.js';
+import type { WorkTurns } from '../net/work-turns.js';
 import type { ClusterState } from '../records/cluster-state.js';
 import { jobPlacementPrefix } from '../records/record-keys.js';
 import type { TeamAccounting } from '../records/team-accounting.js';
@@ -43,7 +43,6 @@
   clock: Clock;
   random: Random;
   invariants: Invariants;
-  requests: WorkTurnsOptions['requests'];
   log: Log;
 }
 
@@ -95,8 +94,7 @@
         transactionEnded: () => this.planSoon(),
       }),
     };
-    const { invariants, requests } = dependencies;
-    this.timer = new PlanTimer({ clock, invariants, requests, plan: (turns) => this.plan(turns) });
+    this.timer = new PlanTimer({ clock, invariants: dependencies.invariants, plan: (turns) => this.plan(turns) });
   }
 
   /**
--- a/src/scheduling/plan-timer.ts
+++ b/src/scheduling/plan-timer.ts
@@ -7,14 +7,13 @@
 } from '../constants/scheduling.js';
 import type { Invariants } from '../logging/invariants.js';
 import type { Clock } from '../net/clock.js';
-import { WorkTurns, type WorkTurnsOptions } from '../net/work-turns.js';
+import { WorkTurns } from '../net/work-turns.js';
 import { planPauseMs } from './decisions/plan-pause.js';
 
 /** The clock, and the function that makes a plan in one turn or several. */
 export interface PlanTimerDependencies {
   clock: Clock;
   invariants: Invariants;
-  requests: WorkTurnsOptions['requests'];
   plan: (turns: WorkTurns) => Promise<void>;
 }
 
@@ -33,8 +32,8 @@
   private requestedPlan: 'none' | 'any' | 'urgent' = 'none';
 
   constructor(private readonly dependencies: PlanTimerDependencies) {
-    const { clock, invariants, requests } = dependencies;
-    this.turns = new WorkTurns({ work: 'plan', clock, invariants, requests });
+    const { clock, invariants } = dependencies;
+    this.turns = new WorkTurns({ work: 'plan', clock, invariants });
   }
 
   /** Returns for how long a plan has kept the event loop busy at most since the last call, ms. */
--- a/src/scheduling/preemptor.ts
+++ b/src/scheduling/preemptor.ts
@@ -7,7 +7,7 @@
 import type { RoleLeadership } from '../leadership/role-leadership.js';
 import type { Invariants } from '../logging/invariants.js';
 import type { Clock } from '../net/clock.js';
-import { WorkTurns, type WorkTurnsOptions } from '../net/work-turns.js';
+import { WorkTurns } from '../net/work-turns.js';
 import type { ClusterState } from '../records/cluster-state.js';
 import { compareEvictionCost, type EvictionCandidate, priorityIndexOf } from './decisions/eviction-options.js';
 import { GuaranteeClaims } from './decisions/guarantee-claims.js';
@@ -29,7 +29,6 @@
   leadership: Pick<RoleLeadership, 'isClusterLeader'>;
   clock: Clock;
   invariants: Invariants;
-  requests: WorkTurnsOptions['requests'];
 }
 
 /** Evicts the tasks that cost least, for pending tasks of a higher priority or of a team within its guarantee. */
@@ -40,8 +39,8 @@
   private pausedUntilMs = -Infinity;
 
   constructor(private readonly dependencies: PreemptorDependencies) {
-    const { clock, invariants, requests } = dependencies;
-    this.turns = new WorkTurns({ work: 'preemption', clock, invariants, requests });
+    const { clock, invariants } = dependencies;
+    this.turns = new WorkTurns({ work: 'preemption', clock, invariants });
     this.teams = new Map(dependencies.settings.cluster.teams.map((team) => [team.name, team]));
   }
 
--- a/src/scheduling/rescheduler.ts
+++ b/src/scheduling/rescheduler.ts
@@ -10,7 +10,7 @@
 import type { Clock } from '../net/clock.js';
 import type { Random } from '../net/random.js';
 import { Priority } from '../net/token-bucket.js';
-import { WorkTurns, type WorkTurnsOptions } from '../net/work-turns.js';
+import { WorkTurns } from '../net/work-turns.js';
 import type { ClusterState } from '../records/cluster-state.js';
 import { markForStop } from '../records/placement-mutations.js';
 import type { TransactionBatcher } from '../store/transaction-batcher.js';
@@ -31,7 +31,6 @@
   clock: Clock;
   random: Random;
   invariants: Invariants;
-  requests: WorkTurnsOptions['requests'];
   log: Log;
 }
 
@@ -40,8 +39,8 @@
   private readonly turns: WorkTurns;
 
   constructor(private readonly dependencies: ReschedulerDependencies) {
-    const { clock, invariants, requests } = dependencies;
-    this.turns = new WorkTurns({ work: 're-matching', clock, invariants, requests });
+    const { clock, invariants } = dependencies;
+    this.turns = new WorkTurns({ work: 're-matching', clock, invariants });
   }
 
   /** Checks until the signal aborts. The interval is jittered, so that the controllers don't all re-match at the same time. */
--- a/src/store/replica.ts
+++ b/src/store/replica.ts
@@ -252,7 +252,7 @@
         if (!this.isLoaded) await this.clock.sleep(LOAD_RETRY_MS, signal);
         continue;
       }
-      const isUpToDate = await this.pull(WATCH_WAIT_MS, Priority.read);
+      const isUpToDate = await this.pull(WATCH_WAIT_MS, Priority.record);
       await this.clock.sleep(isUpToDate ? this.watchPauseMs() : WATCH_RETRY_MS, signal);
     }
   }
