--- a/testing/cluster-workers.ts
+++ b/testing/cluster-workers.ts
@@ -5,12 +5,13 @@
 import type { FakeClock } from './fake-clock.js';
 import type { FakeCloud } from './fake-cloud.js';
 import type { FakeNetwork } from './fake-network.js';
-import { FakeWorker, type TaskRun } from './fake-worker.js';
+import { FakeWorker } from './fake-worker.js';
 import type { ExitReason } from './fake-worker-wire-codec.js';
 import { ANSWER_TIMEOUT_MS } from './heartbeat-sender.js';
 import type { InvariantChecker } from './invariant-checker.js';
 import type { LinkFaults } from './link-faults.js';
 import type { JobDescription, WorkerEnvironment, WorkerOptions } from './worker-environment.js';
+import type { TaskRun } from './worker-events.js';
 
 /** Resources of machines whose type the cloud does not list. */
 const UNLIMITED_RESOURCES: Resources = { cpus: Infinity, gpus: Infinity, memoryGb: Infinity };
@@ -60,13 +61,12 @@
     this.workers.set(machineId, worker);
     checker.machineUp(machineId, { machineType, zone, isSpot });
     worker.onStart = (taskId, commandedAt) => checker.taskStarted(clock.now(), machineId, taskId, commandedAt);
-    worker.onLaunch = (taskId, attempt, fencingToken) =>
-      checker.placements.launched(clock.now(), { machineId, taskId, attempt, fencingToken });
+    worker.onLaunch = (launch) => checker.placements.launched(clock.now(), { machineId, ...launch });
     worker.onEnd = (taskId, reason) => {
       checker.taskEnded(clock.now(), machineId, taskId, reason);
       this.dependencies.onTaskEnd(taskId, reason);
     };
-    network.serve(worker.endpoint, (_method, path, body, sender) => worker.handle(path, body, sender.sentAt));
+    network.serve(worker.endpoint, (_method, path, body, sender) => worker.handle(path, body, sender));
     cloud.machines.set(machineId, { machineType, zone, isSpot, state: 'running', ageS: 100 });
     return worker;
   }
--- a/testing/fake-network.ts
+++ b/testing/fake-network.ts
@@ -10,6 +10,8 @@
   sentAt: number;
   /** The sender has stopped waiting for the answer. */
   isLate?: boolean;
+  /** A copy of a request that was carried out and answered before. */
+  isCopy?: boolean;
 }
 
 /** Handles the requests to an address. */
@@ -31,12 +33,13 @@
    * refuse: the connection is refused. lose: the message does not arrive. answerLost: it arrives, its answer is lost.
    * hold: it is delivered on release, in order, and its answer too if the sender still waits for it.
    * late: it arrives after a delay of `lateMs`, behind newer messages, and gets no answer.
+   * copy: it is delivered and answered as usual, and a copy that nobody waits for arrives `lateMs` after the answer.
    * status: the sender gets `status` and `body` as the answer, and the message does not arrive.
    */
-  kind: 'refuse' | 'lose' | 'answerLost' | 'hold' | 'late' | 'status';
+  kind: 'refuse' | 'lose' | 'answerLost' | 'hold' | 'late' | 'copy' | 'status';
   status?: number;
   body?: unknown;
-  /** Shortest and longest delay of a late message, ms. */
+  /** Shortest and longest delay of a late message or copy, ms. */
   lateMs?: [number, number];
   /** Share of the messages that are affected; all if absent. */
   share?: number;
@@ -44,6 +47,11 @@
   times?: number;
 }
 
+/** Delivers a request to its handler. */
+type Deliver = (delivery?: Pick<Sender, 'isLate' | 'isCopy'>) => Promise<HttpResponse>;
+
+const ignoreOutcome = (delivered: Promise<HttpResponse>): void => void delivered.catch(() => undefined);
+
 /** The host name of an address. */
 const hostName = (address: string) => address.split(':')[0]!;
 
@@ -126,7 +134,15 @@
     const fault = this.matchFault(from, to, '', undefined);
     if (fault === undefined) deliver();
     else if (fault.kind === 'hold') this.held.push({ fault, resume: deliver });
-    else if (fault.kind === 'late') void this.clock.sleep(this.delayMs(fault)).then(deliver);
+    else if (fault.kind === 'late') this.deliverLater(fault, deliver);
+    else if (fault.kind === 'copy') {
+      deliver();
+      this.deliverLater(fault, deliver);
+    }
+  }
+
+  private deliverLater(fault: NetworkFault, deliver: () => void): void {
+    void this.clock.sleep(this.delayMs(fault)).then(deliver);
   }
 
   private delayMs({ lateMs: [min, max] = [2000, 12_000] }: NetworkFault): number {
@@ -146,6 +162,27 @@
     return found ?? this.linkFault(from, to);
   }
 
+  /** The fault of a request; `copyFault` does not affect the request itself. */
+  private faultsOf(
+    from: string,
+    to: string,
+    path: string,
+    body: unknown,
+  ): { fault: NetworkFault | undefined; copyFault?: NetworkFault } {
+    const fault = this.matchFault(from, to, path, body);
+    return fault?.kind === 'copy' ? { fault: this.linkFault(from, to), copyFault: fault } : { fault };
+  }
+
+  /** Returns `deliver`, except that after each answered delivery a copy follows later, if there is such a fault. */
+  private copyingWith(copyFault: NetworkFault | undefined, deliver: Deliver): Deliver {
+    if (copyFault === undefined) return deliver;
+    return async (delivery) => {
+      const reply = await deliver(delivery);
+      this.deliverLater(copyFault, () => ignoreOutcome(deliver({ isLate: true, isCopy: true })));
+      return reply;
+    };
+  }
+
   private linkFault(from: string, to: string): NetworkFault | undefined {
     for (const [fault, inside] of this.partitions)
       if (inside.has(hostName(from)) !== inside.has(hostName(to))) return fault;
@@ -172,10 +209,9 @@
   }
 
   /** Does the fault lose the answer? If so, also delivers the request itself at once, late or never. */
-  private losesAnswer(fault: NetworkFault, deliver: (isLate?: boolean) => Promise<HttpResponse>): boolean {
-    const ignore = (arrived: Promise<HttpResponse>) => void arrived.catch(() => undefined);
-    if (fault.kind === 'answerLost') ignore(deliver());
-    if (fault.kind === 'late') ignore(this.clock.sleep(this.delayMs(fault)).then(() => deliver(true)));
+  private losesAnswer(fault: NetworkFault, deliver: Deliver): boolean {
+    if (fault.kind === 'answerLost') ignoreOutcome(deliver());
+    if (fault.kind === 'late') this.deliverLater(fault, () => ignoreOutcome(deliver({ isLate: true })));
     return fault.kind === 'answerLost' || fault.kind === 'late' || fault.kind === 'lose';
   }
 
@@ -190,16 +226,16 @@
   ): Promise<HttpResponse> {
     const sender: Sender = { from, sentAt: this.clock.now() };
     const copy: unknown = body === undefined ? undefined : JSON.parse(JSON.stringify(body));
-    const fault = this.matchFault(from, to, path, copy);
+    const { fault, copyFault } = this.faultsOf(from, to, path, copy);
     const description = `${method} ${to}${path}`;
     if (!this.handlers.has(to) || fault?.kind === 'refuse') throw new NoResponseError(`${description}: refused`, false);
     if (fault?.kind === 'status') return { status: fault.status!, body: fault.body ?? {} };
     this.log.push({ from, to, method, path, body: copy });
-    const deliver = async (isLate = false): Promise<HttpResponse> => {
+    const deliver = this.copyingWith(copyFault, async (delivery = {}) => {
       const handler = this.handlers.get(to);
       if (handler === undefined) throw new NoResponseError(`${description}: refused`, false);
-      return handler(method, path, copy, isLate ? { ...sender, isLate } : sender);
-    };
+      return handler(method, path, copy, { ...sender, ...delivery });
+    });
     let cancel: () => void = () => undefined;
     const timedOut = new Promise<HttpResponse>((_, reject) => {
       cancel = this.clock.after(options.timeoutMs, () => reject(new NoResponseError(`${description}: timeout`, true)));
@@ -208,7 +244,7 @@
     const answer = async (): Promise<HttpResponse> => {
       if (fault === undefined) await this.clock.sleep(1);
       else await this.untilReleased(fault);
-      const reply = await deliver(this.clock.now() - sender.sentAt >= options.timeoutMs);
+      const reply = await deliver({ isLate: this.clock.now() - sender.sentAt >= options.timeoutMs });
       // A fault that began in the meantime applies to the answer too.
       const answerFault = this.faultOnAnswer(from, to, path);
       if (answerFault?.kind === 'hold') await this.untilReleased(answerFault);
--- a/testing/fake-worker.ts
+++ b/testing/fake-worker.ts
@@ -13,6 +13,7 @@
 import { HeartbeatSender, type SendHeartbeat } from './heartbeat-sender.js';
 import { jobIdOf } from './task-id.js';
 import { launchRefusal, type WorkerEnvironment, type WorkerOptions } from './worker-environment.js';
+import type { AcceptedLaunch, CommandDelivery, TaskRun } from './worker-events.js';
 
 interface Task extends TaskStatus {
   /** When the next state change is due, unless a command comes first. */
@@ -21,14 +22,6 @@
   commandedAt: number;
 }
 
-/** One run of a task; `to` is undefined until it ends. */
-export interface TaskRun {
-  taskId: string;
-  attempt: number;
-  from: number;
-  to: number | undefined;
-}
-
 /** A machine with its agent, and a history of its task runs. */
 export class FakeWorker {
   readonly tasks = new Map<string, Task>();
@@ -45,8 +38,8 @@
   leaseRenewedAt: number;
   /** Called when a task has its image and starts; `commandedAt`: when its launch command was sent. */
   onStart: (taskId: string, commandedAt: number) => void = () => undefined;
-  /** Called when a launch has been accepted; `fencingToken`: that of the command. */
-  onLaunch: (taskId: string, attempt: number, fencingToken: number) => void = () => undefined;
+  /** Called when a launch has been accepted. */
+  onLaunch: (launch: AcceptedLaunch) => void = () => undefined;
   /** Called when a task that has started ends, also because the machine is gone. */
   onEnd: (taskId: string, reason: ExitReason) => void = () => undefined;
   private readonly images = new Set<string>();
@@ -223,10 +216,10 @@
     });
   }
 
-  private execute(commands: readonly TaskCommand[], sentAt: number): void {
+  private execute(commands: readonly TaskCommand[], delivery: CommandDelivery): void {
     for (const command of commands) {
       const task = this.tasks.get(command.taskId);
-      if (command.kind === 'launch') this.launch(command, task, sentAt);
+      if (command.kind === 'launch') this.launch(command, task, delivery);
       else if (task?.attempt === command.attempt) {
         if (command.kind === 'kill' && task.state !== 'exited')
           this.stopTask(command.taskId, task, command.gracePeriodS);
@@ -236,17 +229,17 @@
     this.processDue();
   }
 
-  private launch({ taskId, attempt }: TaskCommand, known: Task | undefined, commandedAt: number): void {
+  private launch({ taskId, attempt }: TaskCommand, known: Task | undefined, delivery: CommandDelivery): void {
     if (known?.attempt === attempt) return;
     const job = this.environment.describe(jobIdOf(taskId));
     const dueAt = this.clock.now() + (job === undefined || this.images.has(job.image) ? 0 : this.imageMs);
     // The protocol does not say which of two attempts a heartbeat then reports: this worker keeps the running one.
     if (job !== undefined && known !== undefined && known.state !== 'exited') return;
     const refusal = launchRefusal(job, this.freeResources());
-    const task: Task = { attempt, state: 'fetching', dueAt, commandedAt };
+    const task: Task = { attempt, state: 'fetching', dueAt, commandedAt: delivery.sentAt };
     this.tasks.set(taskId, task);
     if (refusal !== undefined) return this.end(taskId, refusal);
-    this.onLaunch(taskId, attempt, this.fencingToken);
+    this.onLaunch({ taskId, attempt, fencingToken: this.fencingToken, isCopy: delivery.isCopy === true });
     if (dueAt <= this.clock.now()) this.start(taskId, task);
   }
 
@@ -273,7 +266,11 @@
   }
 
   /** Handles the requests `/commands` and `/show`. */
-  async handle(path: string, body: unknown, sentAt = this.clock.now()): Promise<HttpResponse> {
+  async handle(
+    path: string,
+    body: unknown,
+    delivery: CommandDelivery = { sentAt: this.clock.now() },
+  ): Promise<HttpResponse> {
     await this.untilResumed();
     // The machine is gone: a held message that is delivered only now gets no answer.
     if (this.isDead) return new Promise<HttpResponse>(() => undefined);
@@ -283,7 +280,7 @@
     if (batch.fencingToken < this.fencingToken || batch.agentEpoch !== this.agentEpoch)
       return { status: 409, body: this.composeHeartbeat() };
     this.fencingToken = batch.fencingToken;
-    this.execute(batch.commands, sentAt);
+    this.execute(batch.commands, delivery);
     return { status: 200, body: this.composeHeartbeat() };
   }
 
@@ -297,6 +294,6 @@
     if (this.isDead || batch.fencingToken < this.fencingToken || agentEpoch !== this.agentEpoch) return;
     this.fencingToken = batch.fencingToken;
     this.leaseRenewedAt = sentAt;
-    this.execute(batch.commands, this.clock.now());
+    this.execute(batch.commands, { sentAt: this.clock.now() });
   }
 }
--- a/testing/invariant-checker.ts
+++ b/testing/invariant-checker.ts
@@ -6,7 +6,7 @@
 import { AnswerChecker, type AnswerRule, type UserAnswer } from './answer-checker.js';
 import { ObservedCluster, type ObservedJob, type ObservedRun } from './observed-cluster.js';
 import { PipelineChecker } from './pipeline-checker.js';
-import { PlacementHistory } from './placement-history.js';
+import { PlacementHistory, type PlacementHistoryRule } from './placement-history.js';
 import { PlacementRules, type TeamLimits } from './placement-rules.js';
 import { decodeSubmission, decodeSubmittedId } from './submission-wire-codec.js';
 import { invalidField } from './submission-wire-schema.js';
@@ -22,8 +22,7 @@
   | 'started_cancelled'
   | 'left_waiting'
   | 'too_early'
-  | 'placed_twice'
-  | 'older_token';
+  | PlacementHistoryRule;
 
 /** Longest time for which a job may wait while there is room for it, after all faults have ended. */
 const MAX_WAIT_MS = 90_000;
--- a/testing/loopback-cluster.ts
+++ b/testing/loopback-cluster.ts
@@ -153,8 +153,7 @@
     this.checker.machineUp(machineId, machine);
     worker.onStart = (taskId, commandedAt) => this.checker.taskStarted(now(), machineId, taskId, commandedAt);
     worker.onEnd = (taskId, exitReason) => this.checker.taskEnded(now(), machineId, taskId, exitReason);
-    worker.onLaunch = (taskId, attempt, fencingToken) =>
-      this.checker.placements.launched(now(), { machineId, taskId, attempt, fencingToken });
+    worker.onLaunch = (launch) => this.checker.placements.launched(now(), { machineId, ...launch });
   }
 
   /** By the time at which the cloud answers, a returned machine and everything on it are gone. */
