Log each command to a worker with its token, epoch and channel; count them in node status

The records of the incident could not tell from the controllers' output which launches went out by /commands, under which token, and when their exits were forgotten: at info there was nothing, at debug forgets were missing.

Each launch, kill and forget is now a debug line 'sending command' with channel, fencing token, agent epoch and the sequence number of the status that it is based on; 'command request ended' has the outcome; 'node status' counts both as workerCommands. No behaviour changes.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -116,6 +116,7 @@
       ...this.recordParts,
       leadership: this.leadership,
       planner: this.planner,
+      commandLog: this.workerManager.commandLog,
       apiServer: () => this.apiServer?.takeStatus(),
     });
   }
--- a/src/controller/node-status.ts
+++ b/src/controller/node-status.ts
@@ -14,6 +14,7 @@
 import type { PlacementPlanner } from '../scheduling/placement-planner.js';
 import type { Replica } from '../store/replica.js';
 import type { StoreClient } from '../store/store-client.js';
+import type { CommandLog } from '../workers/command-log.js';
 
 const BYTES_PER_MB = 1_000_000;
 
@@ -23,6 +24,7 @@
   replica: Replica;
   client: StoreClient;
   planner: PlacementPlanner;
+  commandLog: CommandLog;
   http: HttpClient;
   refusals: RefusalLog;
   invariants: Invariants;
@@ -50,7 +52,7 @@
   }
 
   private logStatus(): void {
-    const { leadership, replica, client, planner, http, refusals, invariants, apiServer, clock, log } =
+    const { leadership, replica, client, planner, commandLog, http, refusals, invariants, apiServer, clock, log } =
       this.dependencies;
     const heap = getHeapStatistics();
     const status = {
@@ -59,6 +61,7 @@
       replicaAgeMs: replica.isLoaded ? Math.round(clock.now() - replica.freshAt) : null,
       eventLoopDelayMs: Math.round(this.eventLoopDelay.takeLongestMs()),
       longestPlanTurnMs: Math.round(planner.takeLongestTurnMs()),
+      workerCommands: commandLog.takeCounts(),
       storeWaitMs: client.takeLongestWaits(),
       storeRequests: client.takeOutcomes(),
       outgoing: http.connectionStatus?.(),
--- a/src/workers/command-sender.ts
+++ b/src/workers/command-sender.ts
@@ -8,6 +8,7 @@
 import type { ClusterState } from '../records/cluster-state.js';
 import { attemptKeyOfCommand } from './attempt-key.js';
 import { type CommandResult, sendCommands, workerStatusFrom } from './command-client.js';
+import type { CommandLog, CommandTarget } from './command-log.js';
 import { desiredTasksOn } from './desired-tasks.js';
 import { machineRole } from './machine-role.js';
 import type { DesiredTask } from './reconciliation.js';
@@ -23,11 +24,19 @@
   clusterState: ClusterState;
   workers: WorkerRegistry;
   reconciler: WorkerReconciler;
+  commandLog: CommandLog;
   http: HttpClient;
   clock: Clock;
   log: Log;
 }
 
+/** Commands to send, with the role and the fencing token under which they are sent. */
+interface CommandRequest {
+  role: string;
+  fencingToken: number;
+  commands: readonly WorkerCommand[];
+}
+
 /** Commands in flight, with the role and the fencing token under which they were sent. */
 interface SentCommands {
   role: string;
@@ -75,7 +84,7 @@
   }
 
   private async send(machineId: string): Promise<void> {
-    const { leadership, workers, http, log } = this.dependencies;
+    const { leadership, workers } = this.dependencies;
     const role = machineRole(leadership, machineId);
     const held = leadership.confirmedLeadershipOf(role);
     const worker = workers.get(machineId);
@@ -85,15 +94,19 @@
       return;
     }
     const commands = this.commandsFor(worker, role, held);
-    if (commands.length === 0) return;
+    if (commands.length > 0) await this.request(worker, { role, fencingToken: held.fencingToken, commands });
+  }
+
+  private async request(worker: Worker, { role, fencingToken, commands }: CommandRequest): Promise<void> {
+    const { workers, http, commandLog } = this.dependencies;
+    const { machineId, endpoint, agentEpoch, sequence } = worker;
     this.inFlight.add(worker);
-    const { fencingToken } = held;
-    const { endpoint, agentEpoch } = worker;
     const launches = commands.filter((command) => command.kind === 'launch').map(attemptKeyOfCommand);
     for (const attemptKey of launches) worker.launches.recordSent(attemptKey, fencingToken);
-    const commandSummaries = commands.map((command) => `${command.kind} ${attemptKeyOfCommand(command)}`);
-    log.debug({ machineId, commands: commandSummaries }, 'sending commands');
+    const target: CommandTarget = { machineId, channel: 'request', fencingToken, agentEpoch, sequence };
+    for (const command of commands) commandLog.record(target, command);
     const result = await sendCommands(http, endpoint, { fencingToken, agentEpoch, commands });
+    commandLog.recordOutcome(target, result.kind);
     this.inFlight.delete(worker);
     const mustSendAgain = this.pendingResends.delete(worker);
     // The worker was removed in the meantime, or the partition was lost and acquired again: only the new worker object
--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -7,6 +7,7 @@
 import type { ClusterState } from '../records/cluster-state.js';
 import { attemptKeyOfCommand } from './attempt-key.js';
 import type { CancelledLaunchGuard } from './cancelled-launch-guard.js';
+import type { CommandLog, CommandTarget } from './command-log.js';
 import { desiredTasksOn } from './desired-tasks.js';
 import { machineRole } from './machine-role.js';
 import type { MisroutedWorkers } from './misrouted-workers.js';
@@ -28,6 +29,7 @@
   reconciler: WorkerReconciler;
   stragglerDetector: StragglerDetector;
   cancelledLaunchGuard: CancelledLaunchGuard;
+  commandLog: CommandLog;
   events: WorkerManagerEvents;
   clock: Clock;
   log: Log;
@@ -92,7 +94,19 @@
     events.heartbeatReceived(workerStatus);
     stragglerDetector.checkRunning(worker);
     const commands = reconciler.reconcile(worker, { role, held, desired, isHeartbeatResponse: true });
-    return { kind: 'answered', fencingToken, commands: this.encodeCommands(worker, commands, workerStatus.sequence) };
+    const { agentEpoch, sequence } = worker;
+    const target: CommandTarget = {
+      machineId: worker.machineId,
+      channel: 'response',
+      fencingToken,
+      agentEpoch,
+      sequence,
+    };
+    return {
+      kind: 'answered',
+      fencingToken,
+      commands: this.encodeCommands(worker, commands, { target, heartbeatSequence: workerStatus.sequence }),
+    };
   }
 
   /** Registers a worker at the first contact in this leadership term. */
@@ -107,7 +121,11 @@
   }
 
   /** Encodes as many commands as fit into one response; the next response carries the rest. */
-  private encodeCommands(worker: Worker, commands: readonly WorkerCommand[], sequence: number): WireCommand[] {
+  private encodeCommands(
+    worker: Worker,
+    commands: readonly WorkerCommand[],
+    { target, heartbeatSequence }: { target: CommandTarget; heartbeatSequence: number },
+  ): WireCommand[] {
     const encoded: WireCommand[] = [];
     let bytes = 0;
     for (const command of commands) {
@@ -115,18 +133,13 @@
       bytes += JSON.stringify(wireCommand).length + 1;
       if (bytes > MAX_COMMANDS_BYTES) break;
       encoded.push(wireCommand);
-      if (command.kind === 'launch') this.recordLaunch(worker, command, sequence);
+      this.dependencies.commandLog.record(target, command);
+      if (command.kind === 'launch')
+        worker.launches.recordInHeartbeatResponse(attemptKeyOfCommand(command), heartbeatSequence);
     }
     return encoded;
   }
 
-  private recordLaunch(worker: Worker, command: WorkerCommand, sequence: number): void {
-    worker.launches.recordInHeartbeatResponse(attemptKeyOfCommand(command), sequence);
-    const { machineId } = worker;
-    const { taskId, attempt } = command;
-    this.dependencies.log.debug({ machineId, taskId, attempt }, 'launch added to heartbeat response');
-  }
-
   private redirect(workerStatus: WorkerStatus, role: string): HeartbeatOutcome {
     const { settings, leadership, clusterState, misroutedWorkers, events, clock } = this.dependencies;
     const node = leadership.leaderOf(role);
--- a/src/workers/worker-manager.ts
+++ b/src/workers/worker-manager.ts
@@ -1,5 +1,6 @@
 import { SWEEP_PERIOD_MS, WORKER_RETENTION_LEASES } from '../constants/workers.js';
 import { CancelledLaunchGuard } from './cancelled-launch-guard.js';
+import { CommandLog } from './command-log.js';
 import { CommandSender } from './command-sender.js';
 import { ExitRecorder } from './exit-recorder.js';
 import { FencingTokenAdvancer } from './fencing-token-advancer.js';
@@ -23,6 +24,8 @@
   readonly workers: WorkerRegistry;
   /** Workers that send their heartbeats here although another node leads their partition. */
   readonly misroutedWorkers = new MisroutedWorkers();
+  /** Counts the commands that are sent to workers. */
+  readonly commandLog: CommandLog;
   private readonly stragglerDetector: StragglerDetector;
   private readonly releaser: PlacementReleaser;
   private readonly heartbeatHandler: HeartbeatHandler;
@@ -40,8 +43,10 @@
     const imageCacheGb = (machineType: string) => events.imageCacheGb(machineType);
     const reconciler = new WorkerReconciler({ ...dependencies, releaser, tokenAdvancer, imageCacheGb });
     const cancelledLaunchGuard = new CancelledLaunchGuard({ leadership, timings, clock });
+    const commandLog = new CommandLog(dependencies.log);
     const { misroutedWorkers } = this;
     this.workers = workers;
+    this.commandLog = commandLog;
     this.stragglerDetector = stragglerDetector;
     this.releaser = releaser;
     this.heartbeatHandler = new HeartbeatHandler({
@@ -51,8 +56,9 @@
       reconciler,
       stragglerDetector,
       cancelledLaunchGuard,
+      commandLog,
     });
-    this.commandSender = new CommandSender({ ...dependencies, timings, workers, reconciler });
+    this.commandSender = new CommandSender({ ...dependencies, timings, workers, reconciler, commandLog });
     this.tokenSender = new FencingTokenSender({ ...dependencies, workers, commandSender: this.commandSender });
   }
 
