Forget an attempt only under a newer token than any direct launch of it

Callers saw ran_twice: a copy of a launch by /commands, answered 4.3 s before, started an attempt again that its worker had been told to forget, while the next attempt ran elsewhere.

Cause: the answer to one delivery was taken as proof that no other delivery follows (PendingLaunches.markResolved, used for forget, for releases that rest on an attempt's absence, and for CancelledLaunchGuard). A launch of a newer attempt, which makes the worker forget the older one, had no check at all, and a worker that was silent for ten leases took what was known of its launches with it.

SentLaunches is now the one place that decides: a launch is ruled out only by a token that the worker has seen (or sees with the command itself), by a newer agent epoch, or by the worker still knowing the attempt. Exits wait on their worker until the token is advanced, which FencingTokenAdvancer does once a lease for all that wait, at once for 200 exits on a worker, and within the former pause of 5 s when a launch, a release or the return of a gang's attempt waits. launch-invariant.ts checks each forget, replacing launch and release on absence at run time ('invariant violated').

Exits stay longer in heartbeats, which showed a second use of the same evidence: the straggler detector measured an attempt as running for as long as it was reported, exits included, and would have evicted a whole machine (test 'that are slow lose batch tasks to other machines'). It now looks at running tasks only.

The test that took an answer as proof (reconciliation.test.ts) now requires the token.

--- a/src/constants/leadership.ts
+++ b/src/constants/leadership.ts
@@ -15,6 +15,9 @@
 /** Minimum ms between advances of a partition's fencing token: each makes every worker of the partition send a heartbeat. */
 export const TOKEN_ADVANCE_PAUSE_MS = 5000;
 
+/** Number of exits kept on one worker for which the fencing token is advanced at once: a status may have 64 KiB. */
+export const MAX_KEPT_EXITS = 200;
+
 /** Share of a partition's machines silent at the same time above which the fault is assumed to be the leader's, not theirs. */
 export const LEADER_FAULT_SHARE = 0.4;
 
--- a/src/workers/cancelled-launch-guard.ts
+++ b/src/workers/cancelled-launch-guard.ts
@@ -3,10 +3,10 @@
 import { leaseExpiresAt } from '../domain/worker-deadlines.js';
 import { degradedServingMs, type HeldLeadership, type RoleLeadership } from '../leadership/role-leadership.js';
 import type { Clock } from '../net/clock.js';
-import { attemptKeyOf } from './attempt-key.js';
+import { attemptOf } from './attempt-key.js';
 import type { DesiredTask } from './reconciliation.js';
 import type { Worker } from './worker.js';
-import type { WorkerStatus } from './worker-wire-codec.js';
+import { isNewerThan, type WorkerStatus } from './worker-wire-codec.js';
 
 /** The state that the guard's decision depends on. */
 export interface CancelledLaunchGuardDependencies {
@@ -37,26 +37,26 @@
     const { leadership, timings, clock } = this.dependencies;
     const { launches } = heartbeat.worker;
     if (!mayCancelledLaunchArrive(heartbeat)) {
-      launches.cancelledUnansweredSince = undefined;
+      launches.cancelledLaunchSince = undefined;
       return false;
     }
     const now = clock.now();
-    launches.cancelledUnansweredSince ??= now;
+    launches.cancelledLaunchSince ??= now;
     // While the store is reachable, a new token is obtained shortly and goes out with the next response.
     if (leadership.hasRecentStoreContact) return false;
     const allowedMs = degradedServingMs(timings) - leaseExpiresAt(0, timings.workerLeaseMs) - 2 * REPLICA_FRESH_MS;
-    return now - launches.cancelledUnansweredSince >= allowedMs;
+    return now - launches.cancelledLaunchSince >= allowedMs;
   }
 }
 
 function mayCancelledLaunchArrive({ worker, workerStatus, held, desired }: UnansweredHeartbeat): boolean {
-  // Nearly always no launch is unanswered, and there is no need to search the tasks.
-  if (!worker.launches.hasUnanswered || workerStatus.agentEpoch !== worker.agentEpoch) return false;
+  if (workerStatus.agentEpoch !== worker.agentEpoch) return false;
+  // A command response may have overtaken the heartbeat.
+  const { tasks } = isNewerThan(worker, workerStatus) ? worker : workerStatus;
   const lowestAcceptedToken = Math.max(workerStatus.fencingToken, held.fencingToken);
   for (const [taskId, { placedTask, isCancelled }] of desired) {
-    const sentToken = worker.launches.unansweredToken(attemptKeyOf(placedTask));
-    const isPresent = workerStatus.tasks.get(taskId)?.attempt === placedTask.placement.attempt;
-    if (isCancelled && !isPresent && sentToken !== undefined && sentToken >= lowestAcceptedToken) return true;
+    if (!isCancelled || tasks.get(taskId)?.attempt === placedTask.placement.attempt) continue;
+    if (worker.launches.mayBeRequestedSince(lowestAcceptedToken, attemptOf(placedTask))) return true;
   }
   return false;
 }
--- a/src/workers/command-sender.ts
+++ b/src/workers/command-sender.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '../net/clock.js';
 import type { HttpClient } from '../net/http-client.js';
 import type { ClusterState } from '../records/cluster-state.js';
-import { attemptKeyOfCommand } from './attempt-key.js';
+import { attemptKeyFrom, type TaskAttempt } from './attempt-key.js';
 import { type CommandResult, sendCommands, workerStatusFrom } from './command-client.js';
 import type { CommandLog, CommandTarget } from './command-log.js';
 import { desiredTasksOn } from './desired-tasks.js';
@@ -41,8 +41,7 @@
 interface SentCommands {
   role: string;
   fencingToken: number;
-  /** Attempt keys of the launches among them. */
-  launches: readonly string[];
+  launches: readonly TaskAttempt[];
 }
 
 /**
@@ -101,8 +100,8 @@
     const { workers, http, commandLog } = this.dependencies;
     const { machineId, endpoint, agentEpoch, sequence } = worker;
     this.inFlight.add(worker);
-    const launches = commands.filter((command) => command.kind === 'launch').map(attemptKeyOfCommand);
-    for (const attemptKey of launches) worker.launches.recordSent(attemptKey, fencingToken);
+    const launches = commands.filter((command) => command.kind === 'launch');
+    for (const launch of launches) worker.launches.recordRequest(launch, fencingToken);
     const target: CommandTarget = { machineId, channel: 'request', fencingToken, agentEpoch, sequence };
     for (const command of commands) commandLog.record(target, command);
     const result = await sendCommands(http, endpoint, { fencingToken, agentEpoch, commands });
@@ -131,7 +130,7 @@
         return !isUncertain || desired.get(command.taskId)?.isCancelled === true;
       case 'launch':
         // A launch that may still arrive is repeated in the next heartbeat response, not in another command request.
-        return !isUncertain && !worker.launches.has(attemptKeyOfCommand(command));
+        return !isUncertain && !worker.launches.isInFlight(command);
       case 'forget':
         return false;
     }
@@ -150,11 +149,16 @@
   private applyResult(worker: Worker, { role, fencingToken, launches }: SentCommands, result: CommandResult): void {
     const { leadership, clusterState, reconciler, clock, log } = this.dependencies;
     if (result.kind === 'unknown') {
-      log.info({ machineId: worker.machineId, launches }, 'commands unanswered');
+      const attemptKeys = launches.map(({ taskId, attempt }) => attemptKeyFrom(taskId, attempt));
+      log.info({ machineId: worker.machineId, launches: attemptKeys }, 'commands unanswered');
       return;
     }
-    for (const attemptKey of launches) worker.launches.markResolved(attemptKey, fencingToken);
-    if (result.kind === 'done') worker.reachability.recordCommandsDelivered();
+    const isExecuted = result.kind === 'done';
+    for (const launch of launches) {
+      if (isExecuted) worker.launches.markAnswered(launch, fencingToken);
+      else worker.launches.markNotExecuted(launch, fencingToken);
+    }
+    if (isExecuted) worker.reachability.recordCommandsDelivered();
     const workerStatus = workerStatusFrom(result, worker.machineId);
     if (workerStatus === undefined || !worker.applyStatus(workerStatus, clock.now(), false)) return;
     reconciler.recordImages(worker);
--- a/src/workers/fencing-token-sender.ts
+++ b/src/workers/fencing-token-sender.ts
@@ -10,7 +10,6 @@
 import { type CommandResult, sendCommands, workerStatusFrom } from './command-client.js';
 import type { CommandSender } from './command-sender.js';
 import { machineRole } from './machine-role.js';
-import { Worker } from './worker.js';
 import type { WorkerRegistry } from './worker-registry.js';
 
 /**
@@ -79,7 +78,7 @@
     const isSameTerm = leadership.leadershipOf(machineRole(leadership, machineId))?.term === term;
     const workerStatus = workerStatusFrom(result, machineId);
     if (!isSameTerm || workerStatus === undefined) return;
-    const worker = workers.get(machineId) ?? new Worker(machineId);
+    const worker = workers.get(machineId) ?? workers.create(machineId);
     if (!worker.applyStatus(workerStatus, clock.now(), false)) return;
     workers.add(worker);
     commandSender.schedule(machineId);
--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -5,7 +5,6 @@
 import type { Log } from '../logging/log.js';
 import type { Clock } from '../net/clock.js';
 import type { ClusterState } from '../records/cluster-state.js';
-import { attemptKeyOfCommand } from './attempt-key.js';
 import type { CancelledLaunchGuard } from './cancelled-launch-guard.js';
 import type { CommandLog, CommandTarget } from './command-log.js';
 import { desiredTasksOn } from './desired-tasks.js';
@@ -13,7 +12,7 @@
 import type { MisroutedWorkers } from './misrouted-workers.js';
 import type { DesiredTask } from './reconciliation.js';
 import type { StragglerDetector } from './straggler-detector.js';
-import { Worker } from './worker.js';
+import type { Worker } from './worker.js';
 import type { HeartbeatOutcome, WorkerManagerEvents } from './worker-manager-dependencies.js';
 import type { WorkerReconciler } from './worker-reconciler.js';
 import type { WorkerRegistry } from './worker-registry.js';
@@ -113,7 +112,7 @@
   private register(workerStatus: WorkerStatus, role: string): Worker {
     const { workers, events, log } = this.dependencies;
     const { machineId, agentEpoch, machineType } = workerStatus;
-    const worker = new Worker(machineId);
+    const worker = workers.create(machineId);
     worker.imageCache.addKnown(events.knownImages(machineId));
     workers.add(worker);
     log.debug({ machineId, role, agentEpoch, machineType }, 'worker registered');
@@ -134,8 +133,7 @@
       if (bytes > MAX_COMMANDS_BYTES) break;
       encoded.push(wireCommand);
       this.dependencies.commandLog.record(target, command);
-      if (command.kind === 'launch')
-        worker.launches.recordInHeartbeatResponse(attemptKeyOfCommand(command), heartbeatSequence);
+      if (command.kind === 'launch') worker.launches.recordInHeartbeatResponse(command, heartbeatSequence);
     }
     return encoded;
   }
--- a/src/workers/reconciliation.ts
+++ b/src/workers/reconciliation.ts
@@ -5,7 +5,7 @@
 import type { PlacedTask } from '../records/cluster-state.js';
 import type { TaskEnding } from '../records/placement-mutations.js';
 import type { ReleaseProof } from '../records/placement-rules.js';
-import { attemptKeyFrom, attemptKeyOf, taskIdOfPlaced } from './attempt-key.js';
+import { attemptOf, type TaskAttempt, taskIdOfPlaced } from './attempt-key.js';
 import type { ReportedTask, WorkerCommand } from './worker-wire-codec.js';
 
 /** A task that is recorded on the machine, and its desired state. */
@@ -25,10 +25,12 @@
   /** By task id. */
   readonly tasks: ReadonlyMap<string, ReportedTask>;
   readonly launches: {
-    /** Whether a launch of the attempt may still arrive, sent directly or in a heartbeat response. */
-    has(attemptKey: string): boolean;
-    /** Whether a launch of the attempt was sent directly and has no response yet. */
-    isUnanswered(attemptKey: string): boolean;
+    /** Whether a worker that has seen this token executes no launch of the attempt that was sent so far. */
+    isRuledOut(launch: TaskAttempt, fencingToken: number): boolean;
+    /** The same for all other attempts of the task. */
+    areOtherAttemptsRuledOut(launch: TaskAttempt, fencingToken: number): boolean;
+    /** Whether a launch of the attempt may have been requested under this token or a higher one. */
+    mayBeRequestedSince(fencingToken: number, launch: TaskAttempt): boolean;
   };
 }
 
@@ -56,15 +58,21 @@
 export interface ReconciliationPlan {
   commands: WorkerCommand[];
   releases: PlacementRelease[];
-  /** Some exits can't be forgotten, or placements can't be released, before the fencing token is advanced. */
+  /** A launch or a release has to wait until the fencing token is advanced. */
   needsNewToken: boolean;
+  /** Number of recorded exits that the worker must keep until the fencing token is advanced. */
+  keptExitCount: number;
 }
 
 /** The action that one task requires. */
 type ReconciliationStep =
-  { kind: 'send'; command: WorkerCommand } | { kind: 'release'; release: PlacementRelease } | { kind: 'advance_token' };
+  | { kind: 'send'; command: WorkerCommand }
+  | { kind: 'release'; release: PlacementRelease }
+  | { kind: 'advance_token' }
+  | { kind: 'keep_exit' };
 
 const ADVANCE_TOKEN: ReconciliationStep = { kind: 'advance_token' };
+const KEEP_EXIT: ReconciliationStep = { kind: 'keep_exit' };
 
 /** @param desired all tasks that are recorded on the worker's machine, by task id */
 export function reconcile(
@@ -72,7 +80,7 @@
   desired: ReadonlyMap<string, DesiredTask>,
   permissions: CommandPermissions,
 ): ReconciliationPlan {
-  const plan: ReconciliationPlan = { commands: [], releases: [], needsNewToken: false };
+  const plan: ReconciliationPlan = { commands: [], releases: [], needsNewToken: false, keptExitCount: 0 };
   // Kills and forgets come before launches, because a worker refuses a launch while another attempt of the task is
   // present.
   for (const [taskId, task] of worker.tasks) {
@@ -84,8 +92,10 @@
   }
   for (const [taskId, desiredTask] of desired) {
     const release = findProvenRelease(worker, desiredTask, permissions.fencingToken);
-    if (release !== undefined) addStep(plan, { kind: 'release', release });
-    else if (isMissing(worker, taskId, desiredTask))
+    if (release !== undefined) {
+      addStep(plan, { kind: 'release', release });
+      if (mayReturnWithSameAttempt(worker, desiredTask, release, permissions)) addStep(plan, ADVANCE_TOKEN);
+    } else if (isMissing(worker, taskId, desiredTask))
       addStep(plan, launchOrAdvanceToken(worker, desiredTask, permissions));
   }
   return plan;
@@ -122,7 +132,7 @@
       ? undefined
       : { placedTask, proof, ending: endingOf(task), task };
   }
-  if (!mustStop(desiredTask) || !isLaunchRuledOut(worker, attemptKeyOf(placedTask), fencingToken)) return undefined;
+  if (!mustStop(desiredTask) || !isLaunchRuledOut(worker, attemptOf(placedTask), fencingToken)) return undefined;
   return { placedTask, proof, ending: 'lost', task: undefined };
 }
 
@@ -138,6 +148,9 @@
     case 'advance_token':
       plan.needsNewToken = true;
       break;
+    case 'keep_exit':
+      plan.keptExitCount++;
+      break;
   }
 }
 
@@ -159,9 +172,24 @@
 const mustStop = ({ placedTask, isCancelled }: DesiredTask): boolean =>
   isCancelled || placedTask.placement.gracePeriodS !== null;
 
-/** Whether a launch of this attempt, which is absent from the newest status, can certainly no longer arrive. */
-const isLaunchRuledOut = (worker: WorkerView, attemptKey: string, fencingToken: number): boolean =>
-  worker.fencingToken === fencingToken && !worker.launches.has(attemptKey);
+/** Whether a launch of this attempt, which is absent from the newest status, can certainly have no effect any more. */
+const isLaunchRuledOut = (worker: WorkerView, launch: TaskAttempt, fencingToken: number): boolean =>
+  worker.fencingToken === fencingToken && worker.launches.isRuledOut(launch, worker.fencingToken);
+
+/**
+ * Whether the released task may be placed here again with its attempt number, which the worker has to forget first, and can't
+ * under the present token.
+ */
+const mayReturnWithSameAttempt = (
+  worker: WorkerView,
+  { isInGang }: DesiredTask,
+  { placedTask, ending, task }: PlacementRelease,
+  { fencingToken }: CommandPermissions,
+): boolean =>
+  isInGang &&
+  ending !== 'done' &&
+  task !== undefined &&
+  worker.launches.mayBeRequestedSince(fencingToken, attemptOf(placedTask));
 
 function endingOf(task: ReportedTask): TaskEnding {
   if (task.exitReason === 'done') return 'done';
@@ -189,29 +217,29 @@
   if (!permissions.knowsAllPlacements) return undefined;
   if (state !== 'exited') return { kind: 'send', command: { kind: 'kill', taskId, attempt, gracePeriodS: 0 } };
   if (!permissions.isHeartbeatResponse) return undefined;
-  // A late copy of a launch would start a forgotten task again, so it must first be certain that none is in flight.
-  if (worker.launches.isUnanswered(attemptKeyFrom(taskId, attempt))) return ADVANCE_TOKEN;
+  if (!worker.launches.isRuledOut({ taskId, attempt }, permissions.fencingToken)) return KEEP_EXIT;
   return { kind: 'send', command: { kind: 'forget', taskId, attempt } };
 }
 
 /**
  * Launches a missing task. If the task is to be stopped and a launch sent directly may still arrive, requests a new
- * token, so that the worker refuses the launch.
+ * token, so that the worker refuses the launch. The worker forgets another attempt of the task that has exited, so launches
+ * of that attempt must be ruled out first.
  */
 function launchOrAdvanceToken(
   worker: WorkerView,
   desiredTask: DesiredTask,
-  { canLaunch }: CommandPermissions,
+  { canLaunch, fencingToken }: CommandPermissions,
 ): ReconciliationStep | undefined {
-  const { placedTask } = desiredTask;
+  const launch = attemptOf(desiredTask.placedTask);
   if (mustStop(desiredTask)) {
-    return worker.launches.isUnanswered(attemptKeyOf(placedTask)) ? ADVANCE_TOKEN : undefined;
+    return worker.launches.mayBeRequestedSince(fencingToken, launch) ? ADVANCE_TOKEN : undefined;
   }
   // The worker refuses this launch (`already_present`) while another attempt is there; that one is killed or forgotten
   // first.
-  const taskId = taskIdOfPlaced(placedTask);
-  const reportedTask = worker.tasks.get(taskId);
+  const reportedTask = worker.tasks.get(launch.taskId);
   const isLaunchPossible = reportedTask === undefined || reportedTask.state === 'exited';
   if (!canLaunch || !isLaunchPossible) return undefined;
-  return { kind: 'send', command: { kind: 'launch', taskId, attempt: placedTask.placement.attempt } };
+  if (!worker.launches.areOtherAttemptsRuledOut(launch, fencingToken)) return ADVANCE_TOKEN;
+  return { kind: 'send', command: { kind: 'launch', ...launch } };
 }
--- a/src/workers/straggler-detector.ts
+++ b/src/workers/straggler-detector.ts
@@ -7,7 +7,7 @@
 import type { ClusterState, PlacedTask } from '../records/cluster-state.js';
 import { markForStop } from '../records/placement-mutations.js';
 import type { TransactionBatcher } from '../store/transaction-batcher.js';
-import { attemptKeyOf, taskIdOfPlaced } from './attempt-key.js';
+import { attemptKeyFrom, attemptKeyOf, taskIdOfPlaced } from './attempt-key.js';
 import type { Worker } from './worker.js';
 
 /** The records of jobs and placements, and the transactions that record evictions. */
@@ -52,11 +52,13 @@
    */
   checkRunning(worker: Worker): void {
     const now = this.dependencies.clock.now();
-    for (const [attemptKey, startedAt] of worker.runTimes.runningSince) {
-      const jobId = attemptKey.slice(0, attemptKey.lastIndexOf('/'));
+    for (const [taskId, { attempt, state }] of worker.tasks) {
+      if (state !== 'running' || attempt > 1) continue;
+      const attemptKey = attemptKeyFrom(taskId, attempt);
+      const startedAt = worker.runTimes.runningSince.get(attemptKey);
+      const jobId = taskId.slice(0, taskId.lastIndexOf('/'));
       const siblings = this.finishedRunTimes.get(jobId);
-      const isFirstAttempt = attemptKey.endsWith('#1');
-      if (siblings === undefined || !isFirstAttempt || !this.isComparable(jobId, siblings)) continue;
+      if (startedAt === undefined || siblings === undefined || !this.isComparable(jobId, siblings)) continue;
       const runTimeMs = now - startedAt;
       if (runTimeMs <= STRAGGLER_FACTOR * siblings.meanMs) continue;
       worker.slowness.recordRunTimeRatio(attemptKey, runTimeMs / siblings.meanMs, now);
--- a/src/workers/worker-manager-dependencies.ts
+++ b/src/workers/worker-manager-dependencies.ts
@@ -1,6 +1,7 @@
 /** The worker manager's dependencies, its events, and the outcomes of heartbeats. */
 import type { Settings } from '../domain/settings.js';
 import type { RoleLeadership } from '../leadership/role-leadership.js';
+import type { Invariants } from '../logging/invariants.js';
 import type { Log } from '../logging/log.js';
 import type { Clock } from '../net/clock.js';
 import type { HttpClient } from '../net/http-client.js';
@@ -50,5 +51,6 @@
   http: HttpClient;
   clock: Clock;
   events: WorkerManagerEvents;
+  invariants: Invariants;
   log: Log;
 }
--- a/src/workers/worker-manager.ts
+++ b/src/workers/worker-manager.ts
@@ -39,7 +39,12 @@
     const stragglerDetector = new StragglerDetector(dependencies);
     const exitRecorder = new ExitRecorder({ ...dependencies, workers, stragglerDetector });
     const releaser = new PlacementReleaser({ ...dependencies, workers, exitRecorder });
-    const tokenAdvancer = new FencingTokenAdvancer({ leadership, clock });
+    const tokenAdvancer = new FencingTokenAdvancer({
+      leadership,
+      clock,
+      exitBatchingMs: timings.workerLeaseMs,
+      pushCommands: (machineId) => this.pushCommands(machineId),
+    });
     const imageCacheGb = (machineType: string) => events.imageCacheGb(machineType);
     const reconciler = new WorkerReconciler({ ...dependencies, releaser, tokenAdvancer, imageCacheGb });
     const cancelledLaunchGuard = new CancelledLaunchGuard({ leadership, timings, clock });
--- a/src/workers/worker-reconciler.ts
+++ b/src/workers/worker-reconciler.ts
@@ -1,9 +1,11 @@
 import { parseTaskId } from '../domain/task.js';
 import type { HeldLeadership, RoleLeadership } from '../leadership/role-leadership.js';
+import type { Invariants } from '../logging/invariants.js';
 import type { ClusterState } from '../records/cluster-state.js';
 import type { Replica } from '../store/replica.js';
 import { attemptKeyFrom } from './attempt-key.js';
 import type { FencingTokenAdvancer } from './fencing-token-advancer.js';
+import { checkLaunchesRuledOut } from './launch-invariant.js';
 import type { PlacementReleaser } from './placement-releaser.js';
 import { type CommandPermissions, type DesiredTask, reconcile } from './reconciliation.js';
 import type { Worker } from './worker.js';
@@ -25,6 +27,7 @@
   clusterState: ClusterState;
   releaser: PlacementReleaser;
   tokenAdvancer: FencingTokenAdvancer;
+  invariants: Invariants;
   /** Size in GB of the image cache of a machine of this type. */
   imageCacheGb: (machineType: string) => number;
 }
@@ -35,10 +38,14 @@
 
   /** Records exits, advances the fencing token if the plan needs it, and returns the commands to send. */
   reconcile(worker: Worker, request: ReconciliationRequest): WorkerCommand[] {
-    const { releaser, tokenAdvancer } = this.dependencies;
+    const { releaser, tokenAdvancer, invariants } = this.dependencies;
+    const { role, held } = request;
+    const { machineId } = worker;
     const plan = reconcile(worker, request.desired, this.permissionsFor(request));
-    for (const release of plan.releases) releaser.release(worker.machineId, request.role, release);
-    if (plan.needsNewToken) tokenAdvancer.advance(request.role);
+    checkLaunchesRuledOut(worker, plan, { fencingToken: held.fencingToken, invariants });
+    for (const release of plan.releases) releaser.release(machineId, role, release);
+    const { needsNewToken: isUrgent, keptExitCount } = plan;
+    if (isUrgent || keptExitCount > 0) tokenAdvancer.request({ role, held, machineId, isUrgent, keptExitCount });
     return plan.commands;
   }
 
--- a/src/workers/worker-registry.ts
+++ b/src/workers/worker-registry.ts
@@ -15,6 +15,8 @@
   readonly workers: Map<string, Worker>;
   /** Monotonic ms of the last contact with any worker that was forgotten during the term. */
   lastForgottenContactAt: number;
+  /** The highest fencing token under which launches were requested from any of these workers. */
+  forgottenLaunchToken: number;
 }
 
 /**
@@ -60,7 +62,12 @@
     return size;
   }
 
-  /** Adds a worker at the first contact. Without a term of its partition's leadership it is not kept. */
+  /** Creates a worker at the first contact. */
+  create(machineId: string): Worker {
+    return new Worker(machineId, this.partitionOfMachine(machineId)?.forgottenLaunchToken);
+  }
+
+  /** Adds a worker that was created here. Without a term of its partition's leadership it is not kept. */
   add(worker: Worker): void {
     this.partitionOfMachine(worker.machineId)?.workers.set(worker.machineId, worker);
   }
@@ -72,7 +79,7 @@
 
   /**
    * Forgets a worker that was silent for long. Its last contact still bounds the leases of workers that are not
-   * registered.
+   * registered, and the launches sent to it those that may reach workers registered later.
    */
   forget(machineId: string): void {
     const partition = this.partitionOfMachine(machineId);
@@ -80,6 +87,7 @@
     if (partition === undefined || worker === undefined) return;
     partition.workers.delete(machineId);
     partition.lastForgottenContactAt = Math.max(partition.lastForgottenContactAt, lastAnswerableAt(worker));
+    partition.forgottenLaunchToken = Math.max(partition.forgottenLaunchToken, worker.launches.highestToken);
   }
 
   /**
@@ -118,7 +126,11 @@
     if (term === undefined) return undefined;
     const existing = this.partitionsByTerm.get(term);
     if (existing !== undefined) return existing;
-    const partition = { workers: new Map<string, Worker>(), lastForgottenContactAt: -Infinity };
+    const partition = {
+      workers: new Map<string, Worker>(),
+      lastForgottenContactAt: -Infinity,
+      forgottenLaunchToken: -Infinity,
+    };
     this.partitionsByTerm.set(term, partition);
     return partition;
   }
--- a/src/workers/worker.ts
+++ b/src/workers/worker.ts
@@ -2,7 +2,7 @@
 import { ImageCache } from './image-cache.js';
 import { MachineHealth } from './machine-health.js';
 import { MachineSlowness } from './machine-slowness.js';
-import { PendingLaunches } from './pending-launches.js';
+import { SentLaunches } from './sent-launches.js';
 import { type AnsweredHeartbeat, WorkerReachability } from './worker-reachability.js';
 import { isNewerThan, type ReportedTask, type StatusVersion, type WorkerStatus } from './worker-wire-codec.js';
 
@@ -27,13 +27,19 @@
   spotTerminationAt: number | null = null;
 
   readonly reachability = new WorkerReachability();
-  readonly launches = new PendingLaunches();
+  readonly launches: SentLaunches;
   readonly health = new MachineHealth();
   readonly slowness = new MachineSlowness();
   readonly imageCache = new ImageCache();
   readonly runTimes = new AttemptRunTimes();
 
-  constructor(readonly machineId: string) {}
+  /** @param unrecordedToken see `SentLaunches` */
+  constructor(
+    readonly machineId: string,
+    unrecordedToken?: number,
+  ) {
+    this.launches = new SentLaunches(unrecordedToken);
+  }
 
   /** Whether this heartbeat or a newer one was answered before, or its agent epoch is over. */
   isLate(workerStatus: StatusVersion): boolean {
--- a/test/workers/reconciliation.test.ts
+++ b/test/workers/reconciliation.test.ts
@@ -2,17 +2,19 @@
 import { describe, it } from 'node:test';
 
 import type { ActivePlacement } from '../../src/domain/task.js';
-import { PendingLaunches } from '../../src/workers/pending-launches.js';
 import {
   type CommandPermissions,
   type DesiredTask,
   reconcile,
   type WorkerView,
 } from '../../src/workers/reconciliation.js';
+import { SentLaunches } from '../../src/workers/sent-launches.js';
 import type { ReportedTask } from '../../src/workers/worker-wire-codec.js';
 
 const FENCING_TOKEN = 7;
 const TASK_ID = 'j-000001/0';
+const FIRST_ATTEMPT = { taskId: TASK_ID, attempt: 1 };
+const NO_ACTION = { commands: [], releases: [], needsNewToken: false, keptExitCount: 0 };
 const PERMISSIONS: CommandPermissions = {
   fencingToken: FENCING_TOKEN,
   canLaunch: true,
@@ -20,13 +22,13 @@
   isHeartbeatResponse: true,
 };
 
-function workerWith(task?: Partial<ReportedTask>): WorkerView & { launches: PendingLaunches } {
+function workerWith(task?: Partial<ReportedTask>): WorkerView & { launches: SentLaunches } {
   const reported: ReportedTask = { attempt: 1, state: 'running', exitReason: null, isCheckpointed: false, ...task };
   return {
     agentEpoch: 2,
     fencingToken: FENCING_TOKEN,
     tasks: new Map(task === undefined ? [] : [[TASK_ID, reported]]),
-    launches: new PendingLaunches(),
+    launches: new SentLaunches(),
   };
 }
 
@@ -42,7 +44,7 @@
 describe('the reconciliation of a worker with the recorded placements', () => {
   it('plans no action if status and placements match', () => {
     const plan = reconcile(workerWith({}), desiredWith(), PERMISSIONS);
-    assert.deepEqual(plan, { commands: [], releases: [], needsNewToken: false });
+    assert.deepEqual(plan, NO_ACTION);
   });
 
   it('launches a missing task only while launches are allowed', () => {
@@ -56,13 +58,17 @@
     assert.deepEqual(commands, [{ kind: 'kill', taskId: TASK_ID, attempt: 1, gracePeriodS: 0 }]);
   });
 
-  it('forgets an exit without a placement only in heartbeat responses, and not while a launch may still arrive', () => {
+  it('forgets an exit without a placement only in heartbeat responses, and only under a newer token than its launch', () => {
     const worker = workerWith({ state: 'exited', exitReason: 'done' });
     const forget = { kind: 'forget', taskId: TASK_ID, attempt: 1 };
     assert.deepEqual(reconcile(worker, new Map(), PERMISSIONS).commands, [forget]);
     assert.deepEqual(reconcile(worker, new Map(), { ...PERMISSIONS, isHeartbeatResponse: false }).commands, []);
-    worker.launches.recordSent(`${TASK_ID}#1`, FENCING_TOKEN);
-    assert.deepEqual(reconcile(worker, new Map(), PERMISSIONS), { commands: [], releases: [], needsNewToken: true });
+    worker.launches.recordRequest(FIRST_ATTEMPT, FENCING_TOKEN);
+    assert.deepEqual(reconcile(worker, new Map(), PERMISSIONS), { ...NO_ACTION, keptExitCount: 1 });
+    worker.launches.markAnswered(FIRST_ATTEMPT, FENCING_TOKEN);
+    assert.deepEqual(reconcile(worker, new Map(), PERMISSIONS), { ...NO_ACTION, keptExitCount: 1 });
+    const advanced = { ...PERMISSIONS, fencingToken: FENCING_TOKEN + 1 };
+    assert.deepEqual(reconcile(worker, new Map(), advanced).commands, [forget]);
   });
 
   it('kills no task without a placement until all placements are known', () => {
@@ -72,17 +78,45 @@
 
   it('releases the placement of a cancelled task once its launch can no longer arrive', () => {
     const worker = workerWith();
-    worker.launches.recordSent(`${TASK_ID}#1`, FENCING_TOKEN);
-    const before = reconcile(worker, desiredWith({}, true), PERMISSIONS);
-    assert.deepEqual(before, { commands: [], releases: [], needsNewToken: true });
-    worker.launches.markResolved(`${TASK_ID}#1`, FENCING_TOKEN);
-    const { releases } = reconcile(worker, desiredWith({}, true), PERMISSIONS);
+    worker.launches.recordRequest(FIRST_ATTEMPT, FENCING_TOKEN);
+    const waiting = { ...NO_ACTION, needsNewToken: true };
+    assert.deepEqual(reconcile(worker, desiredWith({}, true), PERMISSIONS), waiting);
+    // An answer shows that the launch has arrived, not that no copy of it arrives again.
+    worker.launches.markAnswered(FIRST_ATTEMPT, FENCING_TOKEN);
+    assert.deepEqual(reconcile(worker, desiredWith({}, true), PERMISSIONS), waiting);
+    const advanced = { ...PERMISSIONS, fencingToken: FENCING_TOKEN + 1 };
+    assert.deepEqual(reconcile(worker, desiredWith({}, true), advanced), NO_ACTION);
+    const reported = { ...worker, fencingToken: FENCING_TOKEN + 1 };
+    const { releases } = reconcile(reported, desiredWith({}, true), advanced);
     assert.deepEqual(
       releases.map(({ proof, ending }) => ({ proof, ending })),
       [{ proof: { kind: 'exited', attempt: 1, agentEpoch: 2 }, ending: 'lost' }],
     );
   });
 
+  it('releases the placement of a cancelled task whose launch was refused or never reached the worker', () => {
+    const worker = workerWith();
+    worker.launches.recordRequest(FIRST_ATTEMPT, FENCING_TOKEN);
+    worker.launches.markNotExecuted(FIRST_ATTEMPT, FENCING_TOKEN);
+    assert.equal(reconcile(worker, desiredWith({}, true), PERMISSIONS).releases.length, 1);
+  });
+
+  it('launches a newer attempt in place of an exited one only under a newer token than that of its launch', () => {
+    const worker = workerWith({ state: 'exited', exitReason: 'error' });
+    worker.launches.recordRequest(FIRST_ATTEMPT, FENCING_TOKEN);
+    worker.launches.markAnswered(FIRST_ATTEMPT, FENCING_TOKEN);
+    const desired = desiredWith({ attempt: 2 });
+    assert.deepEqual(reconcile(worker, desired, PERMISSIONS), { ...NO_ACTION, needsNewToken: true, keptExitCount: 1 });
+    const { commands } = reconcile(worker, desired, { ...PERMISSIONS, fencingToken: FENCING_TOKEN + 1 });
+    assert.deepEqual(
+      commands.map(({ kind, attempt }) => [kind, attempt]),
+      [
+        ['forget', 1],
+        ['launch', 2],
+      ],
+    );
+  });
+
   it('releases a placement of an earlier agent epoch, but not one of a later agent epoch', () => {
     const [release] = reconcile(workerWith(), desiredWith({ agentEpoch: 1 }), PERMISSIONS).releases;
     assert.equal(release?.ending, 'lost');
--- a/test/workers/worker-registry.test.ts
+++ b/test/workers/worker-registry.test.ts
@@ -57,6 +57,18 @@
     assert.equal(registry.leaseExpiresAt(MACHINE_ID, { fencingToken: 5, term }), leaseExpiresAt(500_000, LEASE_MS));
   });
 
+  it('does not consider a launch ruled out because the worker that it was sent to was forgotten', () => {
+    const { registry } = registryFor({ startRevision: 5, acquiredAt: 1000 });
+    const launch = { taskId: 'j-000001/0', attempt: 1 };
+    const forgotten = registry.create(MACHINE_ID);
+    forgotten.launches.recordRequest(launch, 7);
+    registry.add(forgotten);
+    registry.forget(MACHINE_ID);
+    const { launches } = registry.create(MACHINE_ID);
+    assert.equal(launches.isRuledOut(launch, 7), false);
+    assert.equal(launches.isRuledOut(launch, 8), true);
+  });
+
   it('keeps no worker of a partition that this node does not lead', () => {
     const { led, registry } = registryFor({ startRevision: 5, acquiredAt: 1000 });
     led.term = undefined;
