Serve under an advanced token as soon as the watch shows it

Between the watch, which shows the new record, and the answer to the transaction this node refused its workers' heartbeats (503), which sends each of them to another node for a second or two, and dropped commands that were due. If the answer was lost, that lasted until the write was repeated.

While a token is being advanced, a newer record under this process's own store lease can only be its own write, so its revision is the token. Test: 'answers its workers under the new token although the store does not answer the write' (undefined before).

--- a/src/leadership/held-roles.ts
+++ b/src/leadership/held-roles.ts
@@ -15,6 +15,8 @@
   private leaseId: number | undefined;
   private readonly leaderships = new Map<string, HeldLeadership>();
   private readonly releasing = new Set<string>();
+  /** Roles whose fencing token is being advanced. */
+  private readonly advancing = new Set<string>();
 
   constructor(private readonly dependencies: HeldRolesDependencies) {}
 
@@ -50,6 +52,15 @@
     this.releasing.delete(role);
   }
 
+  /** Until `endAdvance`, a newer record under this process's lease is its own, even before the store's answer arrives. */
+  startAdvance(role: string): void {
+    this.advancing.add(role);
+  }
+
+  endAdvance(role: string): void {
+    this.advancing.delete(role);
+  }
+
   isReleasing(role: string): boolean {
     return this.releasing.has(role);
   }
@@ -60,8 +71,10 @@
     if (this.releasing.has(role) || !succession().wasLeaseConfirmed) return undefined;
     const held = this.leaderships.get(role);
     const stored = clusterState.leadershipRecords.get(role);
-    if (held === undefined || stored === undefined) return undefined;
-    return stored.record.leaseId === this.leaseId && stored.modRevision === held.fencingToken ? held : undefined;
+    if (held === undefined || stored === undefined || stored.record.leaseId !== this.leaseId) return undefined;
+    if (stored.modRevision === held.fencingToken) return held;
+    const isAdvanced = this.advancing.has(role) && stored.modRevision > held.fencingToken;
+    return isAdvanced ? { ...held, fencingToken: stored.modRevision } : undefined;
   }
 
   confirmedLeadershipOf(role: string): HeldLeadership | undefined {
--- a/src/leadership/role-transactions.ts
+++ b/src/leadership/role-transactions.ts
@@ -48,12 +48,14 @@
   }
 
   /** Rewrites the record of a role within the same term, so that workers reject late commands under the former token. */
-  advanceFencingToken(role: string, { term }: HeldLeadership): Promise<void> {
+  async advanceFencingToken(role: string, { term }: HeldLeadership): Promise<void> {
     const { heldRoles, log } = this.dependencies;
-    return this.writeRecord(role, true, (revision) => {
+    heldRoles.startAdvance(role);
+    await this.writeRecord(role, true, (revision) => {
       heldRoles.add(role, { fencingToken: revision, term });
       log.info({ role, fencingToken: revision }, 'fencing token advanced');
     });
+    heldRoles.endAdvance(role);
   }
 
   /**
--- a/test/leadership/role-leadership.test.ts
+++ b/test/leadership/role-leadership.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, describe, it } from 'node:test';
 
 import { Cluster } from '../../testing/cluster.js';
+import { decodeTransaction } from '../../testing/fake-store-wire-codec.js';
 
 let cluster: Cluster;
 afterEach(() => {
@@ -62,3 +63,25 @@
     assert.ok([0, 1].some((node) => fencingTokenOf(node, 'part-2') !== undefined));
   });
 });
+
+describe('a controller that advances its fencing token', () => {
+  it('answers its workers under the new token although the store does not answer the write', async () => {
+    await startCluster();
+    const role = 'part-0';
+    const former = fencingTokenOf(0, role)!;
+    cluster.network.addFault({
+      from: 'n0',
+      to: 'store:1',
+      path: /^\/txn/,
+      matchesBody: (body) => decodeTransaction(body).operations.some(({ key }) => key === `live/claim/${role}`),
+      kind: 'answerLost',
+      times: 1,
+    });
+    void cluster.node(0).leadership.advanceFencingToken(role);
+    await cluster.advance(500);
+    const advanced = fencingTokenOf(0, role);
+    assert.ok(advanced !== undefined && advanced > former, `${advanced} after ${former}`);
+    await cluster.advance(10_000);
+    assert.ok(fencingTokenOf(0, role)! >= advanced);
+  });
+});
