--- a/test/scenarios/randomized.test.ts
+++ b/test/scenarios/randomized.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import { largeScheduleOf, type Schedule, scheduleOf } from '../../testing/random-schedule.js';
+import { largeScheduleOf, type Schedule, scheduleOf, withCopiedRequests } from '../../testing/random-schedule.js';
 import { playRandomized } from '../../testing/randomized-scenario.js';
 
 /**
@@ -14,6 +14,8 @@
  * term from which the expiry of their leases is counted.
  */
 const SEEDS_OF_LARGE = [4, 119, 128, 197];
+/** With these seeds copies of answered launches started tasks again. */
+const SEEDS_WITH_COPIES = [4, 24, 52];
 
 describe('a scenario with random faults', () => {
   it('breaks no invariant when cancellations meet a refusal by the store, partitions and an outage (unlimited degraded serving breaks one)', async () => {
@@ -35,6 +37,13 @@
     });
   }
 
+  for (const seed of SEEDS_WITH_COPIES) {
+    it(`breaks no invariant while copies of answered requests arrive: seed ${seed}`, async () => {
+      const schedule = withCopiedRequests(scheduleOf(seed), seed);
+      assert.deepEqual(await playRandomized(schedule), [], JSON.stringify(schedule));
+    });
+  }
+
   for (const seed of SEEDS_OF_LARGE) {
     it(`breaks no invariant with tens of machines and long-running controllers: seed ${seed}`, async () => {
       const schedule = largeScheduleOf(seed);
--- a/testing/fake-network.ts
+++ b/testing/fake-network.ts
@@ -47,6 +47,18 @@
   times?: number;
 }
 
+/** Where a message comes from and goes to; the path is empty for one-way messages. */
+interface Route {
+  from: string;
+  to: string;
+  path: string;
+}
+
+const isOnRoute = (fault: NetworkFault, { from, to, path }: Route): boolean =>
+  (fault.from === undefined || fault.from === from) &&
+  (fault.to === undefined || fault.to === to) &&
+  (fault.path === undefined || fault.path.test(path));
+
 /** Delivers a request to its handler. */
 type Deliver = (delivery?: Pick<Sender, 'isLate' | 'isCopy'>) => Promise<HttpResponse>;
 
@@ -131,14 +143,11 @@
 
   /** Delivers a one-way message, at once unless a fault applies. */
   sendOneWay(from: string, to: string, deliver: () => void): void {
-    const fault = this.matchFault(from, to, '', undefined);
+    const { fault, copyFault } = this.faultsOf({ from, to, path: '' }, undefined);
     if (fault === undefined) deliver();
     else if (fault.kind === 'hold') this.held.push({ fault, resume: deliver });
     else if (fault.kind === 'late') this.deliverLater(fault, deliver);
-    else if (fault.kind === 'copy') {
-      deliver();
-      this.deliverLater(fault, deliver);
-    }
+    if (fault === undefined && copyFault !== undefined) this.deliverLater(copyFault, deliver);
   }
 
   private deliverLater(fault: NetworkFault, deliver: () => void): void {
@@ -149,28 +158,27 @@
     return min + this.random.float() * (max - min);
   }
 
-  private matchFault(from: string, to: string, path: string, body: unknown): NetworkFault | undefined {
+  private findFault(route: Route, body: unknown, isCopy: boolean): NetworkFault | undefined {
     const found = this.faults.find(
       (fault) =>
-        (fault.from === undefined || fault.from === from) &&
-        (fault.to === undefined || fault.to === to) &&
-        (fault.path === undefined || fault.path.test(path)) &&
+        (fault.kind === 'copy') === isCopy &&
+        isOnRoute(fault, route) &&
         (fault.matchesBody === undefined || fault.matchesBody(body)) &&
         (fault.share === undefined || this.random.float() < fault.share),
     );
     if (found?.times !== undefined && --found.times === 0) this.faults = this.faults.filter((each) => each !== found);
-    return found ?? this.linkFault(from, to);
+    return found;
   }
 
-  /** The fault of a request; `copyFault` does not affect the request itself. */
+  /** The fault of a message; `copyFault` does not affect the message itself. */
   private faultsOf(
-    from: string,
-    to: string,
-    path: string,
+    route: Route,
     body: unknown,
-  ): { fault: NetworkFault | undefined; copyFault?: NetworkFault } {
-    const fault = this.matchFault(from, to, path, body);
-    return fault?.kind === 'copy' ? { fault: this.linkFault(from, to), copyFault: fault } : { fault };
+  ): { fault: NetworkFault | undefined; copyFault: NetworkFault | undefined } {
+    return {
+      fault: this.findFault(route, body, false) ?? this.linkFault(route.from, route.to),
+      copyFault: this.findFault(route, body, true),
+    };
   }
 
   /** Returns `deliver`, except that after each answered delivery a copy follows later, if there is such a fault. */
@@ -191,17 +199,15 @@
   }
 
   /** A fault that loses or holds an answer, though the request went through: it began in the meantime. */
-  private faultOnAnswer(from: string, to: string, path: string): NetworkFault | undefined {
+  private faultOnAnswer(route: Route): NetworkFault | undefined {
     const answerFault = this.faults.find(
       (fault) =>
         (fault.kind === 'lose' || fault.kind === 'hold') &&
         fault.share === undefined &&
         fault.matchesBody === undefined &&
-        (fault.from === undefined || fault.from === from) &&
-        (fault.to === undefined || fault.to === to) &&
-        (fault.path === undefined || fault.path.test(path)),
+        isOnRoute(fault, route),
     );
-    return answerFault ?? this.linkFault(from, to);
+    return answerFault ?? this.linkFault(route.from, route.to);
   }
 
   private untilReleased(fault: NetworkFault): Promise<void> {
@@ -226,7 +232,7 @@
   ): Promise<HttpResponse> {
     const sender: Sender = { from, sentAt: this.clock.now() };
     const copy: unknown = body === undefined ? undefined : JSON.parse(JSON.stringify(body));
-    const { fault, copyFault } = this.faultsOf(from, to, path, copy);
+    const { fault, copyFault } = this.faultsOf({ from, to, path }, copy);
     const description = `${method} ${to}${path}`;
     if (!this.handlers.has(to) || fault?.kind === 'refuse') throw new NoResponseError(`${description}: refused`, false);
     if (fault?.kind === 'status') return { status: fault.status!, body: fault.body ?? {} };
@@ -246,7 +252,7 @@
       else await this.untilReleased(fault);
       const reply = await deliver({ isLate: this.clock.now() - sender.sentAt >= options.timeoutMs });
       // A fault that began in the meantime applies to the answer too.
-      const answerFault = this.faultOnAnswer(from, to, path);
+      const answerFault = this.faultOnAnswer({ from, to, path });
       if (answerFault?.kind === 'hold') await this.untilReleased(answerFault);
       return answerFault?.kind === 'lose' || answerFault?.kind === 'answerLost' ? timedOut : reply;
     };
--- a/testing/fault-injector.ts
+++ b/testing/fault-injector.ts
@@ -6,6 +6,8 @@
 
 /** Longest delay of a late message, ms: well over the duration of a lease. */
 const MAX_DELAY_MS = 25_000;
+/** Shortest delay of a copy, ms. */
+const MIN_COPY_DELAY_MS = 200;
 /** Shortest and longest delay of a late transaction, ms. */
 const TRANSACTION_DELAY_MS: [number, number] = [2000, 12_000];
 /** ms for which a freeze trigger stays armed. */
@@ -15,11 +17,14 @@
 const COMMANDS = /^\/commands/;
 const HEARTBEATS = /^\/hello/;
 
+const hasLateMessages = (kind: FaultKind): boolean =>
+  kind === 'lateTransactions' || kind === 'lateHeartbeats' || kind === 'copiedRequests';
+
 /** ms from the start of a fault until it has no more effect. */
 export const faultDurationMs = ({ kind, forMs, refusedMs = 0, times = 1 }: ScheduledFault): number =>
   refusedMs +
   forMs * times +
-  (kind === 'lateTransactions' || kind === 'lateHeartbeats' ? MAX_DELAY_MS : 0) +
+  (hasLateMessages(kind) ? MAX_DELAY_MS : 0) +
   (kind === 'processPause' ? FREEZE_TRIGGER_MS : 0);
 
 type Injection = (fault: ScheduledFault) => unknown;
@@ -68,6 +73,8 @@
     processPause: (fault) => this.pause(fault),
     cloudOutage: ({ forMs }) =>
       this.withFault(forMs, { to: 'cloud:1', kind: 'status', status: 503, body: { error: 'trouble' } }),
+    copiedRequests: ({ forMs, share }) =>
+      this.withFault(forMs, { kind: 'copy', lateMs: [MIN_COPY_DELAY_MS, MAX_DELAY_MS], share }),
     cancelNow: ({ count = 1 }) => this.cancelJobs(count),
     cancelAtTaskEnd: ({ forMs }) => this.cancelAtTaskEnd(forMs),
     oddRequests: () => this.cluster.users.sendUnusualRequests(),
--- a/testing/loopback-cluster.ts
+++ b/testing/loopback-cluster.ts
@@ -47,6 +47,8 @@
   seed?: number;
   /** Limits of the store that it enforces; by default the controllers are told some, but it enforces none. */
   storeLimits?: Required<StoreLimits>;
+  /** Selects tasks that fail on a machine. */
+  failsTask?: (machineId: string, taskId: string) => boolean;
   /** Whether the rules about placements are checked: with thousands of machines that takes too long. */
   checksPlacements?: boolean;
 }
@@ -106,6 +108,7 @@
       machineType: C8,
       heartbeatMs: heartbeatS * 1000,
       runMs: options.runMs,
+      failsTask: options.failsTask,
       environment: {
         leaseS,
         describe: (jobId) => this.jobs.get(jobId),
@@ -190,6 +193,7 @@
     const link: StoreLink = new StoreLink(
       { handle: (method, path, body) => this.handleStore(method, path, body) },
       unreferencedClock,
+      this.workers.copies,
     );
     this.storeLinks.push(link);
     return link.listen();
--- a/testing/loopback-workers.ts
+++ b/testing/loopback-workers.ts
@@ -5,11 +5,13 @@
 
 import type { MachineType } from '../src/domain/machine-type.js';
 import type { Clock } from '../src/net/clock.js';
+import type { HttpResponse } from '../src/net/http-client.js';
 import type { Random } from '../src/net/random.js';
 import { FakeWorker } from './fake-worker.js';
 import { ANSWER_TIMEOUT_MS } from './heartbeat-sender.js';
-import { KeepAliveConnection } from './keep-alive-connection.js';
+import { type ConnectionRequest, KeepAliveConnection } from './keep-alive-connection.js';
 import { readJsonBody } from './loopback-server.js';
+import { RequestCopies } from './request-copies.js';
 import type { WorkerEnvironment } from './worker-environment.js';
 
 const FIRST_LOOPBACK_OCTET = 64;
@@ -25,6 +27,8 @@
   /** Duration of batch tasks, ms. */
   runMs: number;
   environment: WorkerEnvironment;
+  /** Selects tasks that fail on a machine. */
+  failsTask?: ((machineId: string, taskId: string) => boolean) | undefined;
   clock: Clock;
   random: Random;
 }
@@ -49,6 +53,7 @@
   constructor(
     readonly worker: FakeWorker,
     private readonly localAddress: string,
+    private readonly copies: RequestCopies,
   ) {
     this.connection = new KeepAliveConnection(localAddress);
   }
@@ -67,12 +72,20 @@
       if (this.isGone || this.isCut || this.isMute || this.unreachableNodes.has(node)) return undefined;
       const address = addresses.get(node)!;
       const timeoutMs = ANSWER_TIMEOUT_MS;
-      const reply = await this.connection.send({ address, method: 'POST', path: '/hello', body, timeoutMs });
+      const request: ConnectionRequest = { address, method: 'POST', path: '/hello', body, timeoutMs };
+      const reply = await this.connection.send(request);
+      if (reply !== undefined) this.copies.answered(() => this.sendCopy(request));
       if (reply?.status !== 200) this.reconnect();
       return this.hearsCommands ? reply : undefined;
     });
   }
 
+  private async sendCopy(request: ConnectionRequest): Promise<void> {
+    const connection = new KeepAliveConnection(this.localAddress);
+    await connection.send(request);
+    connection.close();
+  }
+
   private reconnect(): void {
     this.connection.close();
     this.connection = new KeepAliveConnection(this.localAddress);
@@ -90,16 +103,19 @@
   readonly workers: LoopbackWorker[] = [];
   private readonly workersByAddress = new Map<string, LoopbackWorker>();
   private readonly server: Server;
+  /** Copies of commands and heartbeats. */
+  readonly copies: RequestCopies;
   private readonly stopped = new AbortController();
 
   constructor(private readonly options: LoopbackWorkersOptions) {
     setMaxListeners(0, this.stopped.signal);
+    this.copies = new RequestCopies(options.clock, options.random, this.stopped.signal);
     this.server = createServer((request, response) => {
       const target = this.workersByAddress.get(request.socket.localAddress ?? '');
       // Without an answer the controller's call ends by its own time limit, as with a machine that can't be reached.
       if (target?.hearsCommands !== true) return;
       void readJsonBody(request)
-        .then((body) => target.worker.handle(request.url ?? '/', body))
+        .then((body) => this.execute(target.worker, request.url ?? '/', body))
         .then(({ status, body }) => {
           if (!target.hearsCommands) return;
           response.writeHead(status, { 'Content-Type': 'application/json' });
@@ -110,6 +126,13 @@
     this.server.keepAliveTimeout = KEEP_ALIVE_MS;
   }
 
+  private async execute(worker: FakeWorker, path: string, body: unknown): Promise<HttpResponse> {
+    const sentAt = this.options.clock.now();
+    const reply = await worker.handle(path, body, { sentAt });
+    this.copies.answered(() => worker.handle(path, body, { sentAt, isCopy: true }));
+    return reply;
+  }
+
   /** Creates the workers and listens for commands. */
   async start(): Promise<void> {
     await new Promise<void>((resolve) => this.server.listen({ port: 0, host: '0.0.0.0', backlog: 4096 }, resolve));
@@ -118,18 +141,18 @@
   }
 
   private add(index: number, port: number): void {
-    const { clock, zones, machineType, environment, runMs } = this.options;
+    const { clock, zones, machineType, environment, runMs, failsTask = () => false } = this.options;
     const machineId = `i-${String(index).padStart(6, '0')}`;
     const zone = zones[index % zones.length]!;
     const worker = new FakeWorker(
       clock,
-      { machineId, zone, machineType: machineType.name, runMs },
+      { machineId, zone, machineType: machineType.name, runMs, failsTask: (taskId) => failsTask(machineId, taskId) },
       machineType,
       environment,
     );
     const localAddress = loopbackAddressOf(index);
     worker.endpoint = `${localAddress}:${port}`;
-    const loopbackWorker = new LoopbackWorker(worker, localAddress);
+    const loopbackWorker = new LoopbackWorker(worker, localAddress, this.copies);
     this.workers.push(loopbackWorker);
     this.workersByAddress.set(localAddress, loopbackWorker);
   }
--- a/testing/random-schedule.ts
+++ b/testing/random-schedule.ts
@@ -47,6 +47,7 @@
   | 'delayedGossip'
   | 'processPause'
   | 'cloudOutage'
+  | 'copiedRequests'
   | 'cancelNow'
   | 'cancelAtTaskEnd'
   | 'oddRequests';
@@ -173,6 +174,20 @@
   cancels: cancels(4, 12),
 });
 
+/** Copies of answered requests on every link. */
+const copiedRequests = fc.record({
+  kind: fc.constant('copiedRequests' as const),
+  atMs: fc.integer({ min: 0, max: FAULT_WINDOW_MS / 2 }),
+  forMs: fc.integer({ min: 5000, max: FAULT_WINDOW_MS }),
+  share,
+});
+
+/** Adds copied requests to the schedule generated from a seed, which is otherwise the same. */
+export const withCopiedRequests = (schedule: Schedule, scheduleSeed: number): Schedule => ({
+  ...schedule,
+  faults: [...schedule.faults, ...fc.sample(copiedRequests, { seed: scheduleSeed, numRuns: 1 })],
+});
+
 /** The schedule generated from a seed. */
 export const scheduleOf = (scheduleSeed: number): Schedule =>
   fc.sample(schedules, { seed: scheduleSeed, numRuns: 1 })[0]!;
--- a/testing/soak-faults.ts
+++ b/testing/soak-faults.ts
@@ -4,6 +4,8 @@
 import type { LoopbackWorker } from './loopback-workers.js';
 import type { SoakFault } from './soak-schedule.js';
 
+type WorkerLinkFault = Extract<SoakFault, { kind: 'workers' | 'workers_cut_from_node' | 'copies' }>;
+
 /** Begins faults and ends them again. */
 export class SoakFaults {
   /** Number of store outages that are in force. */
@@ -57,13 +59,29 @@
         link.cut();
         return () => link.restore();
       }
+      default:
+        return this.beginOnWorkerLinks(fault);
+    }
+  }
+
+  private beginOnWorkerLinks(fault: WorkerLinkFault): () => void {
+    switch (fault.kind) {
       case 'workers':
         return this.disturbWorkers(fault.share, fault.fault);
       case 'workers_cut_from_node':
         return this.cutWorkersFrom(`n${fault.node}`);
+      case 'copies':
+        return this.copyRequests(fault.share);
     }
   }
 
+  /** Copies requests to the workers, to the store and of heartbeats. */
+  private copyRequests(share: number): () => void {
+    const { copies } = this.cluster.workers;
+    copies.share = share;
+    return () => (copies.share = 0);
+  }
+
   private kill(indexes: readonly number[]): () => void {
     for (const index of indexes) this.cluster.signalController(index, 'SIGKILL');
     return () => {
--- a/testing/soak-run.ts
+++ b/testing/soak-run.ts
@@ -1,4 +1,5 @@
 /** One soak run: a cluster of real processes, users, and a schedule of faults; checked from outside. */
+import { hashName } from '../src/domain/role.js';
 import { unreferencedClock } from './loopback-clock.js';
 import { LoopbackCluster } from './loopback-cluster.js';
 import { SoakFaults } from './soak-faults.js';
@@ -14,6 +15,9 @@
 const CHECK_PERIOD_MS = 1000;
 const SHORT_TIMINGS = { heartbeatS: 1, leaseS: 10, cancelS: 36 };
 
+/** Machines and tasks are divided into so many parts, of which a share fails. */
+const FAILING_PARTS = 100;
+
 /** The outcome of a run. */
 export interface SoakResult {
   violations: string[];
@@ -25,9 +29,13 @@
 }
 
 /** Plays the schedule on a cluster of that many machines. */
-export async function playSoak({ seed, faults }: SoakSchedule, machines: number): Promise<SoakResult> {
+export async function playSoak(
+  { seed, faults, failingShare = 0 }: SoakSchedule,
+  machines: number,
+): Promise<SoakResult> {
   const cluster = new LoopbackCluster({
     ...{ nodes: NODES, machines, tuning: 'deploy/tuning.toml', runMs: RUN_MS, timings: SHORT_TIMINGS, seed },
+    failsTask: (machineId, taskId) => hashName(`${machineId} ${taskId}`) % FAILING_PARTS < failingShare * FAILING_PARTS,
   });
   const violations: string[] = [];
   const load = new SoakLoad(cluster, unreferencedClock);
--- a/testing/soak-schedule.ts
+++ b/testing/soak-schedule.ts
@@ -13,12 +13,15 @@
   | { kind: 'peer_cut'; from: number; to: number }
   | { kind: 'workers'; share: number; fault: 'cut' | 'deaf' | 'mute' }
   | { kind: 'workers_cut_from_node'; node: number }
+  | { kind: 'copies'; share: number }
 );
 
 /** The faults of one run. */
 export interface SoakSchedule {
   seed: number;
   faults: SoakFault[];
+  /** Share of the machines and tasks of which each task fails on the machine; none if absent. */
+  failingShare?: number;
 }
 
 const MIN_FAULTS = 3;
@@ -31,6 +34,10 @@
 const SHORT_RESTART_MS = 900;
 const MAX_STORE_DELAY_MS = 400;
 
+/** Share of the answered requests that arrive once more, and of the tasks that fail, with `withCopies`. */
+const COPIED_SHARE = 0.5;
+const FAILING_SHARE = 0.2;
+
 const STORE_LINK_FAULTS: readonly StoreLinkFault[] = ['refused', 'cut', 'late', 'unanswered'];
 const WORKER_FAULTS = ['cut', 'deaf', 'mute'] as const;
 
@@ -98,3 +105,10 @@
   seed,
   faults: new ScheduleDraw(seed, nodes).faults(),
 });
+
+/** Adds copies of answered requests, and tasks that fail on some machines; the other faults stay the same. */
+export const withCopies = ({ seed, faults }: SoakSchedule): SoakSchedule => ({
+  seed,
+  faults: [{ kind: 'copies', atMs: 0, forMs: WINDOW_MS + MAX_FAULT_MS, share: COPIED_SHARE }, ...faults],
+  failingShare: FAILING_SHARE,
+});
--- a/testing/store-link.ts
+++ b/testing/store-link.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../src/net/clock.js';
 import type { HttpResponse } from '../src/net/http-client.js';
 import { LoopbackServer } from './loopback-server.js';
+import type { RequestCopies } from './request-copies.js';
 
 /**
  * `refused`: 503 to every request. `cut`: no request arrives. `late`: requests are executed after the link is restored, and
@@ -27,6 +28,7 @@
   constructor(
     private readonly store: StoreService,
     private readonly clock: Clock,
+    private readonly copies: RequestCopies,
   ) {
     this.server = new LoopbackServer((method, path, body) => this.handle(method, path, body));
   }
@@ -42,6 +44,7 @@
     if (fault === 'cut') return neverAnswered();
     if (fault === 'late') await new Promise<void>((resolve) => this.heldRequests.push(resolve));
     const reply = await this.store.handle(method, path, body);
+    this.copies.answered(() => this.store.handle(method, path, body));
     return fault === undefined && this.fault !== 'cut' ? reply : neverAnswered();
   }
 
