Send transactions that have waited for the write rate with the advanced token

Each advance rewrites the leadership record, so transactions that waited for the store's rate with a condition on the former revision failed (409), which counts against the write rate as well: where few changes are allowed, up to a batch for each advance. The decision still holds: nobody else wrote the record in between. RenewedRevisions replaces the revision when the transaction is sent.

--- a/src/controller/record-parts.ts
+++ b/src/controller/record-parts.ts
@@ -9,6 +9,7 @@
 import { LIVE_PREFIX } from '../records/record-keys.js';
 import { createRecordSizer } from '../records/record-sizer.js';
 import { TeamAccounting } from '../records/team-accounting.js';
+import { RenewedRevisions } from '../store/renewed-revisions.js';
 import { Replica } from '../store/replica.js';
 import { StoreClient } from '../store/store-client.js';
 import { TransactionBatcher } from '../store/transaction-batcher.js';
@@ -26,6 +27,7 @@
   readonly peerDirectory: PeerDirectory;
   readonly replicaFreshness: ReplicaFreshness;
   readonly broadcast: RecordBroadcast;
+  readonly renewedRevisions: RenewedRevisions;
 }
 
 function logLoads(replica: Replica, log: Log): void {
@@ -43,11 +45,12 @@
   const { cluster } = settings;
   const peers = peerNodesOf(environment);
   const limits = transactionLimits(cluster.store);
+  const renewedRevisions = new RenewedRevisions();
   const client = new StoreClient({
     address: settings.storeAddress,
     settings: cluster.store,
     nodeCount: cluster.size,
-    ...{ http, clock, random },
+    ...{ renewedRevisions, http, clock, random },
   });
   const peerDirectory: PeerDirectory = new PeerDirectory(peers, clock, () => replica.freshAt);
   const replica: Replica = new Replica(client, LIVE_PREFIX, clock, () => watchPauseMs(peerDirectory));
@@ -73,14 +76,7 @@
     canDeferExits: isFormatComplete,
   });
   return {
-    client,
-    replica,
-    clusterState,
-    transactions,
-    limits,
-    accounting,
-    peerDirectory,
-    replicaFreshness,
-    broadcast,
+    ...{ client, replica, renewedRevisions, clusterState, transactions, limits, accounting },
+    ...{ peerDirectory, replicaFreshness, broadcast },
   };
 }
--- a/src/leadership/role-leadership.ts
+++ b/src/leadership/role-leadership.ts
@@ -7,6 +7,7 @@
 import type { Random } from '../net/random.js';
 import type { ClusterState } from '../records/cluster-state.js';
 import { leadershipKey } from '../records/record-keys.js';
+import type { RenewedRevisions } from '../store/renewed-revisions.js';
 import type { Replica } from '../store/replica.js';
 import type { StoreClient } from '../store/store-client.js';
 import type { TransactionBatcher } from '../store/transaction-batcher.js';
@@ -44,6 +45,7 @@
   replica: Replica;
   clusterState: ClusterState;
   transactions: TransactionBatcher;
+  renewedRevisions: RenewedRevisions;
   peerDirectory: PeerStoreAccess;
   /** Monotonic ms as of which the replica holds every write confirmed by any node. */
   replicaFreshness: { completeAsOf(): number };
--- a/src/leadership/role-transactions.ts
+++ b/src/leadership/role-transactions.ts
@@ -6,6 +6,7 @@
 import type { ClusterState } from '../records/cluster-state.js';
 import { decodeLeadershipRecord, encodeLeadershipRecord } from '../records/record-codecs.js';
 import { leadershipKey } from '../records/record-keys.js';
+import type { RenewedRevisions } from '../store/renewed-revisions.js';
 import type { Replica } from '../store/replica.js';
 import type { TransactionBatcher } from '../store/transaction-batcher.js';
 import type { HeldRoles } from './held-roles.js';
@@ -19,6 +20,7 @@
   clusterState: ClusterState;
   replica: Replica;
   transactions: TransactionBatcher;
+  renewedRevisions: RenewedRevisions;
   succession: () => SuccessionPolicy;
   clock: Clock;
   log: Log;
@@ -48,11 +50,12 @@
   }
 
   /** Rewrites the record of a role within the same term, so that workers reject late commands under the former token. */
-  async advanceFencingToken(role: string, { term }: HeldLeadership): Promise<void> {
-    const { heldRoles, log } = this.dependencies;
+  async advanceFencingToken(role: string, { term, fencingToken }: HeldLeadership): Promise<void> {
+    const { heldRoles, renewedRevisions, log } = this.dependencies;
     heldRoles.startAdvance(role);
     await this.writeRecord(role, true, (revision) => {
       heldRoles.add(role, { fencingToken: revision, term });
+      renewedRevisions.record(leadershipKey(role), fencingToken, revision);
       log.info({ role, fencingToken: revision }, 'fencing token advanced');
     });
     heldRoles.endAdvance(role);
--- a/src/store/store-client.ts
+++ b/src/store/store-client.ts
@@ -6,6 +6,7 @@
 import { type HttpClient, type HttpResponse, NoResponseError } from '../net/http-client.js';
 import type { Random } from '../net/random.js';
 import { Priority, TokenBucket } from '../net/token-bucket.js';
+import { RenewedRevisions } from './renewed-revisions.js';
 import {
   type Condition,
   decodeKey,
@@ -60,7 +61,8 @@
 interface Call {
   method: 'GET' | 'POST';
   path: string;
-  body?: unknown;
+  /** Called once the request may be sent. */
+  encodeBody?: () => unknown;
   priority: Priority;
   timeoutMs: number;
   /** Number of writes; 0 by default. */
@@ -83,6 +85,8 @@
   settings: StoreSettings;
   /** Number of nodes that share the store's limits. */
   nodeCount: number;
+  /** Replaces the revisions in the conditions of transactions that have waited for the rate limits. */
+  renewedRevisions?: RenewedRevisions;
   clock: Clock;
   random: Random;
 }
@@ -95,12 +99,15 @@
   private readonly address: string;
   private readonly clock: Clock;
   private readonly random: Random;
+  private readonly renewedRevisions: RenewedRevisions;
   private readonly outcomes = new EventCounts();
   /** Monotonic ms of the last response other than 503, and of the last 503 or missing response. */
   lastAnsweredAt = -Infinity;
   lastUnavailableAt = -Infinity;
 
-  constructor({ http, address, settings, nodeCount, clock, random }: StoreClientOptions) {
+  constructor(options: StoreClientOptions) {
+    const { http, address, settings, nodeCount, clock, random } = options;
+    this.renewedRevisions = options.renewedRevisions ?? new RenewedRevisions();
     this.http = http;
     this.address = address;
     this.clock = clock;
@@ -115,9 +122,10 @@
   }
 
   /** Sends the request once the rate limits allow it. Throws the errors of the HTTP client. */
-  private async call({ method, path, body, priority, timeoutMs, writes = 0 }: Call): Promise<HttpResponse> {
+  private async call({ method, path, encodeBody, priority, timeoutMs, writes = 0 }: Call): Promise<HttpResponse> {
     if (writes > 0) await this.writeBucket.take(writes, priority);
     await this.requestBucket.take(1, priority);
+    const body = encodeBody?.();
     let reply: HttpResponse;
     try {
       reply = await this.http.call(this.address, method, path, body, { timeoutMs, connectMs: STORE_TIMEOUT_MS });
@@ -206,8 +214,8 @@
     writes: readonly Write[],
     priority: Priority,
   ): Promise<TransactionResult> {
-    const body = encodeTransaction(conditions, writes);
-    const call: Call = { method: 'POST', path: '/txn', body, priority, timeoutMs: STORE_TIMEOUT_MS };
+    const encodeBody = (): unknown => encodeTransaction(this.withLatestRevisions(conditions), writes);
+    const call: Call = { method: 'POST', path: '/txn', encodeBody, priority, timeoutMs: STORE_TIMEOUT_MS };
     let reply: HttpResponse;
     try {
       reply = await this.call({ ...call, writes: writes.length });
@@ -217,6 +225,13 @@
     return decodeTransactionResult(reply.status, reply.body);
   }
 
+  private withLatestRevisions(conditions: readonly Condition[]): Condition[] {
+    return conditions.map(({ key, modRevision }) => ({
+      key,
+      modRevision: this.renewedRevisions.latestOf(key, modRevision),
+    }));
+  }
+
   /** Creates a store lease and returns its id. Throws a `StoreError`. */
   async createLease(ttlMs: number): Promise<number> {
     const reply = await this.leaseCall(LEASES_PATH, encodeLeaseRequest(ttlMs));
@@ -233,6 +248,13 @@
   }
 
   private leaseCall(path: string, body: unknown): Promise<HttpResponse> {
-    return this.callOrThrow({ method: 'POST', path, body, priority: Priority.lease, timeoutMs: STORE_TIMEOUT_MS });
+    const encodeBody = (): unknown => body;
+    return this.callOrThrow({
+      method: 'POST',
+      path,
+      encodeBody,
+      priority: Priority.lease,
+      timeoutMs: STORE_TIMEOUT_MS,
+    });
   }
 }
