--- a/test/scenarios/copied-commands.test.ts
+++ b/test/scenarios/copied-commands.test.ts
@@ -104,10 +104,12 @@
   it('does not start a preempted task again', async () => {
     await startCluster();
     await launch({ kind: 'array', priority: 'low', cpus: 8 });
-    await cluster.submit({ ...JOB, id: 'j-svc-2', cpus: 8 });
-    assert.equal(machinesOf('j-svc-2/0').length, 1, 'it has preempted the task');
-    drain(FIRST);
-    await cluster.cancelJob('j-svc-2');
+    await cluster.advanceUntilSettled(cluster.post(jobOf({ ...JOB, id: 'j-svc-2', cpus: 8 })), 500);
+    await cluster.until(() => machinesOf('j-svc-2/0').includes(FIRST), 2000);
+    cluster.addWorker({ machineId: SECOND, zone: 'b' });
+    await untilStartedOn(SECOND);
+    // The machine has room for the copy.
+    await cluster.advanceUntilSettled(cluster.requestCancellation('j-svc-2'), 500);
     await cluster.advance(COPY_DELAY_MS);
   });
 
@@ -187,6 +189,29 @@
     assert.equal(runsOfFirstAttempt(), 1);
   });
 
+  it('does not start a task again whose worker was forgotten and registered again under the same token', async () => {
+    const first = await startCluster();
+    await launch();
+    cluster.node(leaderOf(FIRST)).workerManager.workers.forget(FIRST);
+    await cluster.advance(1000);
+    drain(FIRST);
+    fail(first);
+    await cluster.advance(COPY_DELAY_MS);
+    assert.equal(runsOfFirstAttempt(), 1);
+  });
+
+  it('does not start a task again in a new agent epoch of its worker', async () => {
+    const first = await startCluster();
+    copyLaunch(TASK, FIRST, 2 * LEASE_MS);
+    await cluster.advanceUntilSettled(cluster.post(jobOf(JOB)), 500);
+    drain(FIRST);
+    cluster.outboundLoss.add(FIRST);
+    await cluster.until(() => first.agentEpoch === 2, 2 * LEASE_MS);
+    cluster.outboundLoss.delete(FIRST);
+    await cluster.advance(2 * LEASE_MS);
+    assert.equal(runsOfFirstAttempt(), 1);
+  });
+
   it('does not start a task again on a machine that hung while the copy arrived', async () => {
     const first = await startCluster();
     await launch();
@@ -219,6 +244,20 @@
   });
 });
 
+describe('a running task', () => {
+  it('does not start again when it is cancelled in a store outage and the copy of its launch arrives after its end', async () => {
+    const first = await startCluster();
+    await launch();
+    cluster.store.refusedNodes.add(`n${leaderOf(FIRST)}`);
+    await cluster.advanceUntilSettled(cluster.requestCancellation(JOB.id, (leaderOf(FIRST) + 1) % 3), 500);
+    cluster.store.isUnavailable = true;
+    await cluster.until(() => first.tasks.get(TASK)?.state === 'exited', COPY_DELAY_MS / 2);
+    await cluster.advance(COPY_DELAY_MS);
+    assert.equal(runsOfFirstAttempt(), 1);
+    assert.ok(knows(first), 'nothing is forgotten without the store');
+  });
+});
+
 describe('an exit', () => {
   it('is kept by its worker for a lease at most, unless the store is out', async () => {
     const first = await startCluster();
--- a/test/workers/reconciliation.test.ts
+++ b/test/workers/reconciliation.test.ts
@@ -117,6 +117,16 @@
     );
   });
 
+  it('asks for a new token when a gang member has failed that may be placed here again with its attempt', () => {
+    const worker = workerWith({ state: 'exited', exitReason: 'peer_lost' });
+    const desired = new Map([[TASK_ID, { ...desiredWith().get(TASK_ID)!, isInGang: true }]]);
+    assert.equal(reconcile(worker, desired, PERMISSIONS).needsNewToken, false);
+    worker.launches.recordRequest(FIRST_ATTEMPT, FENCING_TOKEN);
+    worker.launches.markAnswered(FIRST_ATTEMPT, FENCING_TOKEN);
+    assert.equal(reconcile(worker, desired, PERMISSIONS).needsNewToken, true);
+    assert.equal(reconcile(worker, desiredWith(), PERMISSIONS).needsNewToken, false);
+  });
+
   it('releases a placement of an earlier agent epoch, but not one of a later agent epoch', () => {
     const [release] = reconcile(workerWith(), desiredWith({ agentEpoch: 1 }), PERMISSIONS).releases;
     assert.equal(release?.ending, 'lost');
