--- a/review/lib2/harness.mjs
+++ b/review/lib2/harness.mjs
@@ -7,6 +7,7 @@
 import { fileURLToPath } from 'node:url';
 
 import { Client, freeAddress, listen } from './http.mjs';
+import { Link } from './proxy.mjs';
 import { Store } from './store.mjs';
 import { Worker } from './worker.mjs';
 
@@ -27,9 +28,12 @@
 }
 
 export class Deployment {
-  /** `options`: { nodes, cluster, flavors, folder (of the record) }. `cluster`: the field of that name in the settings. */
-  constructor({ nodes, cluster, flavors, folder }) {
-    Object.assign(this, { cluster, flavors });
+  /**
+   * `cluster`: the field of that name in the settings; `folder`: of the record; `locations`: the zones of the controllers, by
+   * default the first zone for all.
+   */
+  constructor({ nodes, cluster, flavors, folder, locations = [] }) {
+    Object.assign(this, { cluster, flavors, locations });
     this.recordFile = join(folder, 'record.txt');
     writeFileSync(this.recordFile, '');
     this.startedAt = performance.now();
@@ -42,6 +46,8 @@
     this.exits = [];
     this.logs = new Map();
     this.isStopping = false;
+    this.cutOff = new Set();
+    this.store.isCutOff = (name) => this.isCutOff(name);
     /** Machines that the cloud can still rent out. */
     this.capacity = 0;
     this.rentals = new Map();
@@ -68,8 +74,15 @@
     }
     this.addresses = new Map(this.names.map((name, index) => [name, binds[index]]));
     this.meshes = new Map(this.names.map((name, index) => [name, meshes[index]]));
-    this.cloud = await listen((method, path, body) => this.answerAsCloud(method, path, body));
+    this.clouds = new Map();
+    this.links = new Map();
     for (const name of this.names) {
+      const cloud = await listen((...call) => (this.isCutOff(name) ? undefined : this.answerAsCloud(...call)));
+      this.clouds.set(name, cloud);
+      for (const peer of this.names) {
+        const link = new Link(this.meshes.get(peer));
+        if (peer !== name) this.links.set(`${name} to ${peer}`, { link, address: await link.listen() });
+      }
       const file = join(this.folder, `${name}.json`);
       writeFileSync(file, JSON.stringify(this.settingsOf(name, await this.store.open(name))));
     }
@@ -77,15 +90,19 @@
   }
 
   settingsOf(name, state) {
-    const location = this.cluster.zones[0];
+    const locationOf = (node) => this.locations[this.names.indexOf(node)] ?? this.cluster.zones[0];
     const peers = this.names.filter((each) => each !== name);
     return {
       node: name,
-      location,
+      location: locationOf(name),
       bind: this.addresses.get(name),
       mesh_addr: this.meshes.get(name),
-      peers: peers.map((node) => ({ node, location, address: this.meshes.get(node) })),
-      outside: { cloud: this.cloud.address, state },
+      peers: peers.map((node) => ({
+        node,
+        location: locationOf(node),
+        address: this.links.get(`${name} to ${node}`).address,
+      })),
+      outside: { cloud: this.clouds.get(name).address, state },
       cluster: { size: this.names.length, ...this.cluster },
     };
   }
@@ -126,6 +143,17 @@
     setTimeout(() => this.startController(name), this.restartMs ?? 5000);
   }
 
+  isCutOff(name) {
+    return this.cutOff.has(name);
+  }
+
+  /** Cuts a controller off from the state service, the cloud, the other controllers and the users; packets are held. */
+  cutOffNode(name) {
+    this.record(`${name}: cut off from state service, cloud, controllers and users`);
+    this.cutOff.add(name);
+    for (const [ends, { link }] of this.links) if (ends.split(' to ').includes(name)) link.cut();
+  }
+
   /** Sends a signal to a process that this deployment has started. */
   signal(name, signal) {
     this.record(`${name}: ${signal}`);
@@ -255,7 +283,8 @@
     }
     for (const worker of this.workers) worker.stop();
     this.store.close();
-    this.cloud?.close();
+    for (const cloud of this.clouds?.values() ?? []) cloud.close();
+    for (const { link } of this.links?.values() ?? []) link.close();
     await Promise.race([Promise.all(ended), sleep(3000)]);
     rmSync(this.folder, { recursive: true, force: true });
   }
@@ -272,6 +301,7 @@
     const { names, addresses } = this.deployment;
     for (let tries = 0; tries < 3; tries++) {
       const name = names[this.turn++ % names.length];
+      if (this.deployment.isCutOff(name)) continue;
       const client = new Client();
       const reply = await client.request(addresses.get(name), method, path, body, timeoutMs);
       client.close();
--- a/review/lib2/store.mjs
+++ b/review/lib2/store.mjs
@@ -40,11 +40,11 @@
     this.waiters = new Set();
     this.epoch = 0;
     this.nextLease = 1;
-    /** Ports by node, so that a fault can be set on the link of one node. */
+    /** One for each node, so that a node can be cut off. */
     this.servers = [];
     this.rejected = new Map();
-    /** Called before a request is executed and after: (node, method, path, phase) => promise of 'drop' | undefined. */
-    this.onRequest = undefined;
+    /** Whether no packet passes between the store and the node. */
+    this.isCutOff = () => false;
     this.expiry = setInterval(() => this.expireLeases(), 20);
   }
 
@@ -62,14 +62,13 @@
   }
 
   async answer(node, method, path, body) {
-    if ((await this.onRequest?.(node, method, path, 'before')) === 'drop') return undefined;
+    if (this.isCutOff(node)) return undefined;
     const reply = await this.execute(method, path, body);
     if (reply.status === 400 && !reply.body.error?.includes('lease')) {
       const what = `${method} ${path.split('?')[0]}: ${reply.body.error}`;
       this.rejected.set(what, (this.rejected.get(what) ?? 0) + 1);
     }
-    if ((await this.onRequest?.(node, method, path, 'after')) === 'drop') return undefined;
-    return reply;
+    return this.isCutOff(node) ? undefined : reply;
   }
 
   execute(method, path, body) {
--- a/review/lib2/worker.mjs
+++ b/review/lib2/worker.mjs
@@ -19,6 +19,12 @@
     this.isStopped = false;
     this.hasChanged = false;
     this.wake = () => undefined;
+    /** The only controller that this machine's reports reach; undefined: all of them. */
+    this.onlyNode = undefined;
+    /** No command reaches the machine. */
+    this.isUnreachable = false;
+    /** The controller that answered the last report with 200. */
+    this.steward = undefined;
   }
 
   async start() {
@@ -130,16 +136,10 @@
       return NEXT_NODE_MS;
     }
     const sentAt = performance.now();
-    const reply = await this.client.request(
-      this.environment.nodes.get(this.node),
-      'POST',
-      '/hello',
-      body,
-      ANSWER_TIMEOUT_MS,
-    );
+    const reply = await this.send(body);
     if (this.isStopped) return 0;
-    this.environment.reported?.(this, body, reply);
     if (reply.status === 200) {
+      this.steward = this.node;
       this.accept(reply.body, sentAt, tenure);
       return 0;
     }
@@ -152,6 +152,14 @@
     return NEXT_NODE_MS;
   }
 
+  async send(body) {
+    if (this.onlyNode !== undefined && this.onlyNode !== this.node) {
+      await new Promise((resolve) => setTimeout(resolve, ANSWER_TIMEOUT_MS));
+      return { status: 0, body: undefined };
+    }
+    return this.client.request(this.environment.nodes.get(this.node), 'POST', '/hello', body, ANSWER_TIMEOUT_MS);
+  }
+
   accept({ Fence: fence, Orders: orders = [] }, sentAt, tenure) {
     if (typeof fence !== 'number' || fence < this.fence || tenure !== this.tenure) return;
     this.see(fence);
@@ -167,6 +175,7 @@
   // Commands.
 
   handle(method, path, body, bytes) {
+    if (this.isUnreachable) return undefined;
     if (path === '/show') return { status: 200, body: this.compose() };
     if (bytes > MAX_BODY_BYTES) {
       this.environment.event('commands too large', { host: this.host, bytes, orders: body?.Orders?.length });
