Bound the tasks on a machine by what its worker can report

All tasks fitted one machine by CPUs and memory. The worker's report of 82 KB exceeded the 64 KiB of a request, so it sent none; the leader returned the machine as unresponsive with all that ran on it, and did the same with the next ones.

Cause: placement knew CPUs, GPUs and memory only; nothing bounded the report that names every task of the machine, including exits that the worker keeps until it may forget them.

Change: a task takes bytes of the worker's report, as it takes memory. Exits that are kept take space too: the leader holds launches until there is space (workers/report-space.ts), and asks for the token under which the exits may be forgotten. Direct commands are split into requests of at most 64 KiB.

Tests: the fakes refuse requests above 64 KiB and report them as a violated rule.

--- a/src/api/api-server.ts
+++ b/src/api/api-server.ts
@@ -127,10 +127,15 @@
       }
       release?.();
       if (body.kind === 'malformed') this.respond(response, route.connectionKind, NOT_JSON);
-      else this.respond(response, route.connectionKind, TOO_LARGE, () => request.destroy());
+      else this.refuseTooLarge(request, response, route.connectionKind);
     });
   }
 
+  private refuseTooLarge(request: IncomingMessage, response: ServerResponse, kind: ConnectionKind): void {
+    this.refusals.record({ kind: 'request', reason: 'too_large', fields: { from: kind } });
+    this.respond(response, kind, TOO_LARGE, () => request.destroy());
+  }
+
   private refusalFor(route: Route, method: string | undefined): JsonResponse | undefined {
     if (route.method !== method) return WRONG_METHOD;
     if (!route.isConcurrencyLimited || this.openUserRequests < MAX_OPEN_REQUESTS) return undefined;
--- a/src/api/request-body.ts
+++ b/src/api/request-body.ts
@@ -1,7 +1,7 @@
 /** Reads the JSON bodies of requests, up to the protocol's limit. */
 import type { IncomingMessage } from 'node:http';
 
-import { MAX_BODY_BYTES } from '../constants/api.js';
+import { MAX_MESSAGE_BYTES } from '../constants/protocol.js';
 
 /** The parsed body, or the reason why there is none. */
 export type RequestBody = { kind: 'json'; value: unknown } | { kind: 'malformed' } | { kind: 'too_large' };
@@ -13,20 +13,20 @@
  * few listeners as possible, since it runs for every heartbeat of every worker.
  */
 export function readBody(request: IncomingMessage, onBody: (body: RequestBody) => void): void {
-  if (Number(request.headers['content-length'] ?? 0) > MAX_BODY_BYTES) {
+  if (Number(request.headers['content-length'] ?? 0) > MAX_MESSAGE_BYTES) {
     onBody(TOO_LARGE);
     return;
   }
   const chunks: Buffer[] = [];
   let sizeBytes = 0;
   request.on('data', (chunk: Buffer) => {
-    const wasTooLarge = sizeBytes > MAX_BODY_BYTES;
+    const wasTooLarge = sizeBytes > MAX_MESSAGE_BYTES;
     sizeBytes += chunk.length;
-    if (sizeBytes <= MAX_BODY_BYTES) chunks.push(chunk);
+    if (sizeBytes <= MAX_MESSAGE_BYTES) chunks.push(chunk);
     else if (!wasTooLarge) onBody(TOO_LARGE);
   });
   request.on('end', () => {
-    if (sizeBytes <= MAX_BODY_BYTES) onBody(parseJson(chunks));
+    if (sizeBytes <= MAX_MESSAGE_BYTES) onBody(parseJson(chunks));
   });
 }
 
--- a/src/api/runnable-check.ts
+++ b/src/api/runnable-check.ts
@@ -1,6 +1,6 @@
 /** Detects well-formed submissions of jobs that could never run. */
 import type { JobSpec } from '../domain/job.js';
-import type { MachineType } from '../domain/machine-type.js';
+import { type MachineType, resourcesOfMachineType } from '../domain/machine-type.js';
 import { fits } from '../domain/resources.js';
 import type { Team } from '../domain/team.js';
 import { isWithinQuota } from '../records/placement-rules.js';
@@ -16,7 +16,7 @@
     (machineType) =>
       (spec.machineTypes === null || spec.machineTypes.includes(machineType.name)) &&
       (spec.zone === null || machineType.zones.length === 0 || machineType.zones.includes(spec.zone)) &&
-      fits(spec, machineType),
+      fits(spec, resourcesOfMachineType(machineType)),
   );
   if (!fitsAnyMachineType) return 'a task fits no allowed machine type';
   // An array runs as many tasks at a time as the quota allows; a gang or service must fit as a whole.
--- a/src/constants/api.ts
+++ b/src/constants/api.ts
@@ -24,9 +24,6 @@
 /** Maximum of `Retry-After` in seconds: users ignore longer waits. */
 export const MAX_RETRY_AFTER_S = 30;
 
-/** Maximum size of a request body in bytes: the protocol's limit. */
-export const MAX_BODY_BYTES = 65_536;
-
 /** ms for which an idle connection of a user or worker is kept open: several heartbeat or poll intervals. */
 export const KEEP_ALIVE_MS = 30_000;
 
--- /dev/null
+++ b/src/constants/protocol.ts
@@ -0,0 +1,10 @@
+/** Limits that the protocols state. */
+
+/** Maximum size of a request's body, and of a line in a response to users and workers, bytes. */
+export const MAX_MESSAGE_BYTES = 65_536;
+
+/** Maximum number of tasks of a job. */
+export const MAX_TASKS_PER_JOB = 100_000;
+
+/** Maximum number of characters in a name that a request contains. */
+export const MAX_NAME_CHARACTERS = 200;
--- a/src/constants/workers.ts
+++ b/src/constants/workers.ts
@@ -1,4 +1,5 @@
 /** Heartbeats, commands, and machine health. */
+import { MAX_MESSAGE_BYTES } from './protocol.js';
 
 /** ms for which placement changes of a machine are collected before commands are sent to its worker. */
 export const COMMAND_BATCHING_MS = 5;
@@ -41,8 +42,11 @@
 /** Timeout of connecting to a worker or peer, ms: a machine that is cut off never responds. */
 export const CONNECT_TIMEOUT_MS = 1000;
 
-/** Maximum size of the commands in a response to a worker, bytes: below the 64 KiB that a line may hold. */
-export const MAX_COMMANDS_BYTES = 60_000;
+/** Size of a message to a worker without its commands, bytes: the fencing token, the agent epoch and the names of the fields. */
+const COMMANDS_ENVELOPE_BYTES = 512;
+
+/** Maximum size of the commands in one message to a worker, bytes. */
+export const MAX_COMMANDS_BYTES = MAX_MESSAGE_BYTES - COMMANDS_ENVELOPE_BYTES;
 
 /** Number of different jobs with failures on a machine, without a success in between, from which it is quarantined. */
 export const MIN_FAILED_JOBS_FOR_QUARANTINE = 2;
--- a/src/domain/machine-type.ts
+++ b/src/domain/machine-type.ts
@@ -1,4 +1,5 @@
 /** The machine types that the cloud offers. */
+import { MAX_REPORTED_TASKS_BYTES } from '../constants/worker-report.js';
 import type { JobSpec } from './job.js';
 import { countFittingTasks, type Resources } from './resources.js';
 
@@ -25,6 +26,7 @@
   cpus: machineType.cpus,
   gpus: machineType.gpus,
   memoryGb: machineType.memoryGb,
+  reportBytes: MAX_REPORTED_TASKS_BYTES,
 });
 
 /** How many tasks of a job fit on a machine of this type without other tasks. */
--- a/src/domain/resources.ts
+++ b/src/domain/resources.ts
@@ -5,6 +5,8 @@
   cpus: number;
   gpus: number;
   memoryGb: number;
+  /** Bytes of the worker's reports, which name every task of the machine. */
+  reportBytes: number;
 }
 
 /** Amounts that differ by less count as equal, since sums of decimal amounts are inexact. */
@@ -17,17 +19,19 @@
 export const fits = (task: Resources, free: Resources): boolean =>
   task.cpus <= free.cpus + TOLERANCE &&
   task.gpus <= free.gpus + TOLERANCE &&
-  task.memoryGb <= free.memoryGb + TOLERANCE;
+  task.memoryGb <= free.memoryGb + TOLERANCE &&
+  task.reportBytes <= free.reportBytes + TOLERANCE;
 
 /** Whether no resource is overallocated. */
 export const isNonNegative = (free: Resources): boolean =>
-  free.cpus >= -TOLERANCE && free.gpus >= -TOLERANCE && free.memoryGb >= -TOLERANCE;
+  free.cpus >= -TOLERANCE && free.gpus >= -TOLERANCE && free.memoryGb >= -TOLERANCE && free.reportBytes >= -TOLERANCE;
 
 /** Extracts the resource fields of an object. */
 export const resourcesOf = (spec: Resources): Resources => ({
   cpus: spec.cpus,
   gpus: spec.gpus,
   memoryGb: spec.memoryGb,
+  reportBytes: spec.reportBytes,
 });
 
 /** Subtracts the resources of `taskCount` tasks from `free` in place; a negative count adds them. */
@@ -35,6 +39,7 @@
   free.cpus -= task.cpus * taskCount;
   free.gpus -= task.gpus * taskCount;
   free.memoryGb -= task.memoryGb * taskCount;
+  free.reportBytes -= task.reportBytes * taskCount;
 }
 
 /** How many equal tasks fit the free resources at the same time. */
@@ -43,5 +48,6 @@
   let count = free.cpus / task.cpus;
   if (task.memoryGb > 0) count = Math.min(count, free.memoryGb / task.memoryGb);
   if (task.gpus > 0) count = Math.min(count, free.gpus / task.gpus);
+  if (task.reportBytes > 0) count = Math.min(count, free.reportBytes / task.reportBytes);
   return Math.floor(count + TOLERANCE);
 };
--- a/src/records/job-spec-codec.ts
+++ b/src/records/job-spec-codec.ts
@@ -1,5 +1,6 @@
 /** Codec of job specifications. Submissions and stored job records use the same wire form. */
 import type { JobKind, JobPriority, JobSpec } from '../domain/job.js';
+import { maxReportedTaskBytes } from '../domain/worker-report.js';
 
 /** Wire names of the job kinds. */
 export type WireJobShape = 'array' | 'ensemble' | 'service';
@@ -49,6 +50,7 @@
     cpus: wire.Cpus,
     gpus: wire.Cards,
     memoryGb: wire.MemGb,
+    reportBytes: maxReportedTaskBytes(wire.Ref),
     image: wire.Bundle,
     imageGb: wire.SizeGb,
     machineTypes: wire.Flavors,
--- a/src/records/machine-placements.ts
+++ b/src/records/machine-placements.ts
@@ -51,7 +51,7 @@
     placedTasks.set(keyOf(placedTask), placedTask);
     let used = this.usedResourcesByMachine.get(machineId);
     if (used === undefined) {
-      used = { cpus: 0, gpus: 0, memoryGb: 0 };
+      used = { cpus: 0, gpus: 0, memoryGb: 0, reportBytes: 0 };
       this.usedResourcesByMachine.set(machineId, used);
     }
     subtractResources(used, spec, -1);
--- a/src/scheduling/candidate-machines.ts
+++ b/src/scheduling/candidate-machines.ts
@@ -14,7 +14,8 @@
   /** Whether no task of the job can fit: free resources only shrink in a plan, so equal or larger requests don't fit either. */
   isFull(spec: JobSpec): boolean {
     return this.unplaceableRequests.some(
-      ({ cpus, gpus, memoryGb }) => spec.cpus >= cpus && spec.gpus >= gpus && spec.memoryGb >= memoryGb,
+      ({ cpus, gpus, memoryGb, reportBytes }) =>
+        spec.cpus >= cpus && spec.gpus >= gpus && spec.memoryGb >= memoryGb && spec.reportBytes >= reportBytes,
     );
   }
 
--- a/src/scheduling/decisions/eviction-options.ts
+++ b/src/scheduling/decisions/eviction-options.ts
@@ -61,6 +61,7 @@
     spec.cpus,
     spec.gpus,
     spec.memoryGb,
+    spec.reportBytes,
     spec.machineTypes?.join(',') ?? '*',
     spec.zone ?? '*',
     spec.allowsSpot,
--- a/src/workers/cancellation-enforcer.ts
+++ b/src/workers/cancellation-enforcer.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../net/clock.js';
 import type { HttpClient } from '../net/http-client.js';
 import type { ClusterState, JobView } from '../records/cluster-state.js';
+import { commandsForOneMessage } from './command-batch.js';
 import { sendCommands } from './command-client.js';
 import { machineRole } from './machine-role.js';
 import type { WorkerCommand } from './worker-wire-codec.js';
@@ -63,8 +64,10 @@
       return;
     this.sentAt.set(machineId, now);
     this.inFlightCount++;
-    log.info({ machineId, taskCount: batch.commands.length }, 'killing tasks of cancelled jobs for their leader');
-    void sendCommands(http, endpoint, batch).finally(() => this.inFlightCount--);
+    // What does not fit is sent when the kills are repeated.
+    const commands = commandsForOneMessage(batch.commands);
+    log.info({ machineId, taskCount: commands.length }, 'killing tasks of cancelled jobs for their leader');
+    void sendCommands(http, endpoint, { ...batch, commands }).finally(() => this.inFlightCount--);
   }
 
   /** By machine id. */
--- a/src/workers/command-log.ts
+++ b/src/workers/command-log.ts
@@ -27,6 +27,12 @@
     this.log.debug({ command: kind, taskId, attempt, ...target }, 'sending command');
   }
 
+  /** Records that launches wait, because the worker's report has no space for their tasks. */
+  recordHeld(machineId: string, launchCount: number): void {
+    this.counts.record('launches held');
+    this.log.debug({ machineId, launchCount }, 'launches held: the report has no space');
+  }
+
   /** Records the outcome of a request with commands. */
   recordOutcome({ machineId, fencingToken, agentEpoch }: CommandTarget, outcome: string): void {
     this.counts.record(`request ${outcome}`);
--- a/src/workers/command-sender.ts
+++ b/src/workers/command-sender.ts
@@ -7,6 +7,7 @@
 import type { HttpClient } from '../net/http-client.js';
 import type { ClusterState } from '../records/cluster-state.js';
 import { attemptKeyFrom, type TaskAttempt } from './attempt-key.js';
+import { commandsForOneMessage } from './command-batch.js';
 import { type CommandResult, sendCommands, workerStatusFrom } from './command-client.js';
 import type { CommandLog, CommandTarget } from './command-log.js';
 import { desiredTasksOn } from './desired-tasks.js';
@@ -35,6 +36,8 @@
   role: string;
   fencingToken: number;
   commands: readonly WorkerCommand[];
+  /** Whether these are all commands that are due; the others are sent once these are answered. */
+  isComplete: boolean;
 }
 
 /** Commands in flight, with the role and the fencing token under which they were sent. */
@@ -92,11 +95,14 @@
       this.pendingResends.add(worker);
       return;
     }
-    const commands = this.commandsFor(worker, role, held);
-    if (commands.length > 0) await this.request(worker, { role, fencingToken: held.fencingToken, commands });
+    const dueCommands = this.commandsFor(worker, role, held);
+    if (dueCommands.length === 0) return;
+    const commands = commandsForOneMessage(dueCommands);
+    const isComplete = commands.length === dueCommands.length;
+    await this.request(worker, { role, fencingToken: held.fencingToken, commands, isComplete });
   }
 
-  private async request(worker: Worker, { role, fencingToken, commands }: CommandRequest): Promise<void> {
+  private async request(worker: Worker, { role, fencingToken, commands, isComplete }: CommandRequest): Promise<void> {
     const { workers, http, commandLog } = this.dependencies;
     const { machineId, endpoint, agentEpoch, sequence } = worker;
     this.inFlight.add(worker);
@@ -107,12 +113,13 @@
     const result = await sendCommands(http, endpoint, { fencingToken, agentEpoch, commands });
     commandLog.recordOutcome(target, result.kind);
     this.inFlight.delete(worker);
-    const mustSendAgain = this.pendingResends.delete(worker);
+    const wasChanged = this.pendingResends.delete(worker);
+    const hasMore = !isComplete && result.kind === 'done';
     // The worker was removed in the meantime, or the partition was lost and acquired again: only the new worker object
     // records what has been sent since, so no conclusion may be drawn from this result.
     if (workers.get(machineId) !== worker) return;
     this.applyResult(worker, { role, fencingToken, launches }, result);
-    if (mustSendAgain) this.schedule(machineId);
+    if (wasChanged || hasMore) this.schedule(machineId);
   }
 
   private commandsFor(worker: Worker, role: string, held: HeldLeadership): WorkerCommand[] {
--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -1,4 +1,3 @@
-import { MAX_COMMANDS_BYTES } from '../constants/workers.js';
 import type { Settings } from '../domain/settings.js';
 import { heartbeatLateMs } from '../domain/worker-deadlines.js';
 import type { HeldLeadership, RoleLeadership } from '../leadership/role-leadership.js';
@@ -6,6 +5,7 @@
 import type { Clock } from '../net/clock.js';
 import type { ClusterState } from '../records/cluster-state.js';
 import type { CancelledLaunchGuard } from './cancelled-launch-guard.js';
+import { commandsForOneMessage } from './command-batch.js';
 import type { CommandLog, CommandTarget } from './command-log.js';
 import { desiredTasksOn } from './desired-tasks.js';
 import { machineRole } from './machine-role.js';
@@ -125,17 +125,12 @@
     commands: readonly WorkerCommand[],
     { target, heartbeatSequence }: { target: CommandTarget; heartbeatSequence: number },
   ): WireCommand[] {
-    const encoded: WireCommand[] = [];
-    let bytes = 0;
-    for (const command of commands) {
-      const wireCommand = encodeCommand(command);
-      bytes += JSON.stringify(wireCommand).length + 1;
-      if (bytes > MAX_COMMANDS_BYTES) break;
-      encoded.push(wireCommand);
+    const sent = commandsForOneMessage(commands);
+    for (const command of sent) {
       this.dependencies.commandLog.record(target, command);
       if (command.kind === 'launch') worker.launches.recordInHeartbeatResponse(command, heartbeatSequence);
     }
-    return encoded;
+    return sent.map(encodeCommand);
   }
 
   private redirect(workerStatus: WorkerStatus, role: string): HeartbeatOutcome {
--- a/src/workers/reconciliation.ts
+++ b/src/workers/reconciliation.ts
@@ -6,6 +6,7 @@
 import type { TaskEnding } from '../records/placement-mutations.js';
 import type { ReleaseProof } from '../records/placement-rules.js';
 import { attemptOf, type TaskAttempt, taskIdOfPlaced } from './attempt-key.js';
+import { tasksWithoutReportSpace } from './report-space.js';
 import type { ReportedTask, WorkerCommand } from './worker-wire-codec.js';
 
 /** A task that is recorded on the machine, and its desired state. */
@@ -62,6 +63,8 @@
   needsNewToken: boolean;
   /** Number of recorded exits that the worker must keep until the fencing token is advanced. */
   keptExitCount: number;
+  /** Number of launches that wait for space in the worker's report. */
+  heldLaunchCount: number;
 }
 
 /** The action that one task requires. */
@@ -69,10 +72,12 @@
   | { kind: 'send'; command: WorkerCommand }
   | { kind: 'release'; release: PlacementRelease }
   | { kind: 'advance_token' }
-  | { kind: 'keep_exit' };
+  | { kind: 'keep_exit' }
+  | { kind: 'hold_launch' };
 
 const ADVANCE_TOKEN: ReconciliationStep = { kind: 'advance_token' };
 const KEEP_EXIT: ReconciliationStep = { kind: 'keep_exit' };
+const HOLD_LAUNCH: ReconciliationStep = { kind: 'hold_launch' };
 
 /** @param desired all tasks that are recorded on the worker's machine, by task id */
 export function reconcile(
@@ -80,7 +85,10 @@
   desired: ReadonlyMap<string, DesiredTask>,
   permissions: CommandPermissions,
 ): ReconciliationPlan {
-  const plan: ReconciliationPlan = { commands: [], releases: [], needsNewToken: false, keptExitCount: 0 };
+  const plan: ReconciliationPlan = {
+    ...{ commands: [], releases: [], needsNewToken: false },
+    ...{ keptExitCount: 0, heldLaunchCount: 0 },
+  };
   // Kills and forgets come before launches, because a worker refuses a launch while another attempt of the task is
   // present.
   for (const [taskId, task] of worker.tasks) {
@@ -90,17 +98,36 @@
       : removeUnrecordedTask(worker, taskId, task, permissions);
     addStep(plan, step);
   }
+  const missing: DesiredTask[] = [];
   for (const [taskId, desiredTask] of desired) {
     const release = findProvenRelease(worker, desiredTask, permissions.fencingToken);
     if (release !== undefined) {
       addStep(plan, { kind: 'release', release });
       if (mayReturnWithSameAttempt(worker, desiredTask, release, permissions)) addStep(plan, ADVANCE_TOKEN);
-    } else if (isMissing(worker, taskId, desiredTask))
-      addStep(plan, launchOrAdvanceToken(worker, desiredTask, permissions));
+    } else if (isMissing(worker, taskId, desiredTask)) missing.push(desiredTask);
   }
+  addLaunches(plan, worker, missing, permissions);
   return plan;
 }
 
+function addLaunches(
+  plan: ReconciliationPlan,
+  worker: WorkerView,
+  missing: readonly DesiredTask[],
+  permissions: CommandPermissions,
+): void {
+  if (missing.length === 0) return;
+  const attempts = missing.map(({ placedTask }) => attemptOf(placedTask));
+  const withoutSpace = tasksWithoutReportSpace(worker, attempts, permissions.fencingToken);
+  for (const desiredTask of missing) {
+    const step = launchOrAdvanceToken(worker, desiredTask, permissions);
+    const isHeld = step?.kind === 'send' && withoutSpace.has(step.command.taskId);
+    addStep(plan, isHeld ? HOLD_LAUNCH : step);
+  }
+  // The worker may only forget the kept exits, which makes space, under a new token.
+  if (plan.heldLaunchCount > 0 && plan.keptExitCount > 0) addStep(plan, ADVANCE_TOKEN);
+}
+
 /**
  * Returns the release of a placement if the worker's own statuses prove that its task has ended. The proof holds only
  * while these statuses are the newest: a gang member may be placed on the same machine again with the same attempt
@@ -151,6 +178,9 @@
     case 'keep_exit':
       plan.keptExitCount++;
       break;
+    case 'hold_launch':
+      plan.heldLaunchCount++;
+      break;
   }
 }
 
--- a/src/workers/worker-manager.ts
+++ b/src/workers/worker-manager.ts
@@ -10,6 +10,7 @@
 import { MisroutedWorkers } from './misrouted-workers.js';
 import { PlacementReleaser } from './placement-releaser.js';
 import { StragglerDetector } from './straggler-detector.js';
+import { SurplusPlacementEvictor } from './surplus-placement-evictor.js';
 import type { HeartbeatOutcome, WorkerManagerDependencies } from './worker-manager-dependencies.js';
 import { WorkerReconciler } from './worker-reconciler.js';
 import { WorkerRegistry } from './worker-registry.js';
@@ -27,6 +28,7 @@
   /** Counts the commands that are sent to workers. */
   readonly commandLog: CommandLog;
   private readonly stragglerDetector: StragglerDetector;
+  private readonly surplusEvictor: SurplusPlacementEvictor;
   private readonly releaser: PlacementReleaser;
   private readonly heartbeatHandler: HeartbeatHandler;
   private readonly commandSender: CommandSender;
@@ -46,13 +48,14 @@
       pushCommands: (machineId) => this.pushCommands(machineId),
     });
     const imageCacheGb = (machineType: string) => events.imageCacheGb(machineType);
-    const reconciler = new WorkerReconciler({ ...dependencies, releaser, tokenAdvancer, imageCacheGb });
-    const cancelledLaunchGuard = new CancelledLaunchGuard({ leadership, timings, clock });
     const commandLog = new CommandLog(dependencies.log);
+    const reconciler = new WorkerReconciler({ ...dependencies, releaser, tokenAdvancer, commandLog, imageCacheGb });
+    const cancelledLaunchGuard = new CancelledLaunchGuard({ leadership, timings, clock });
     const { misroutedWorkers } = this;
     this.workers = workers;
     this.commandLog = commandLog;
     this.stragglerDetector = stragglerDetector;
+    this.surplusEvictor = new SurplusPlacementEvictor(dependencies);
     this.releaser = releaser;
     this.heartbeatHandler = new HeartbeatHandler({
       ...dependencies,
@@ -105,7 +108,9 @@
     this.misroutedWorkers.prune(now);
     this.tokenSender.prune(now);
     this.releaser.releaseExpired();
-    this.stragglerDetector.evictFromSlowMachines(this.workers.values(), (machineId) => this.roleOf(machineId));
+    const roleOf = (machineId: string) => this.roleOf(machineId);
+    this.stragglerDetector.evictFromSlowMachines(this.workers.values(), roleOf);
+    this.surplusEvictor.evict(this.workers.values(), roleOf);
     this.forgetSilentWorkers(now);
   }
 
--- a/src/workers/worker-reconciler.ts
+++ b/src/workers/worker-reconciler.ts
@@ -4,6 +4,7 @@
 import type { ClusterState } from '../records/cluster-state.js';
 import type { Replica } from '../store/replica.js';
 import { attemptKeyFrom } from './attempt-key.js';
+import type { CommandLog } from './command-log.js';
 import type { FencingTokenAdvancer } from './fencing-token-advancer.js';
 import { checkLaunchesRuledOut } from './launch-invariant.js';
 import type { PlacementReleaser } from './placement-releaser.js';
@@ -27,6 +28,7 @@
   clusterState: ClusterState;
   releaser: PlacementReleaser;
   tokenAdvancer: FencingTokenAdvancer;
+  commandLog: CommandLog;
   invariants: Invariants;
   /** Size in GB of the image cache of a machine of this type. */
   imageCacheGb: (machineType: string) => number;
@@ -38,7 +40,7 @@
 
   /** Records exits, advances the fencing token if the plan needs it, and returns the commands to send. */
   reconcile(worker: Worker, request: ReconciliationRequest): WorkerCommand[] {
-    const { releaser, tokenAdvancer, invariants } = this.dependencies;
+    const { releaser, tokenAdvancer, commandLog, invariants } = this.dependencies;
     const { role, held } = request;
     const { machineId } = worker;
     const plan = reconcile(worker, request.desired, this.permissionsFor(request));
@@ -46,6 +48,7 @@
     for (const release of plan.releases) releaser.release(machineId, role, release);
     const { needsNewToken: isUrgent, keptExitCount } = plan;
     if (isUrgent || keptExitCount > 0) tokenAdvancer.request({ role, held, machineId, isUrgent, keptExitCount });
+    if (plan.heldLaunchCount > 0) commandLog.recordHeld(machineId, plan.heldLaunchCount);
     return plan.commands;
   }
 
--- a/src/workers/worker-wire-codec.ts
+++ b/src/workers/worker-wire-codec.ts
@@ -4,11 +4,11 @@
  */
 import * as v from 'valibot';
 
+import { MAX_NAME_CHARACTERS } from '../constants/protocol.js';
 import type { MachineIdentity } from '../domain/machine-state.js';
 
-const MAX_TEXT_CHARACTERS = 200;
 const nonNegativeInteger = v.pipe(v.number(), v.integer(), v.minValue(0));
-const nonEmptyText = v.pipe(v.string(), v.minLength(1), v.maxLength(MAX_TEXT_CHARACTERS));
+const nonEmptyText = v.pipe(v.string(), v.minLength(1), v.maxLength(MAX_NAME_CHARACTERS));
 
 const WireTaskSchema = v.object({
   Shard: nonEmptyText,
--- a/test/api/api-server.test.ts
+++ b/test/api/api-server.test.ts
@@ -5,7 +5,8 @@
 
 import { ApiServer } from '../../src/api/api-server.js';
 import type { Handlers } from '../../src/api/routes.js';
-import { MAX_BODY_BYTES, MAX_OPEN_REQUESTS } from '../../src/constants/api.js';
+import { MAX_OPEN_REQUESTS } from '../../src/constants/api.js';
+import { MAX_MESSAGE_BYTES } from '../../src/constants/protocol.js';
 import { RefusalLog } from '../../src/logging/refusal-log.js';
 import { systemClock } from '../../src/net/clock.js';
 import type { JsonResponse } from '../../src/net/json-response.js';
@@ -87,11 +88,11 @@
     const { open } = createTestServer({});
     const announced = await request(
       open(),
-      `POST /hello HTTP/1.1\r\nHost: node\r\nContent-Length: ${MAX_BODY_BYTES + 1}\r\n\r\n`,
+      `POST /hello HTTP/1.1\r\nHost: node\r\nContent-Length: ${MAX_MESSAGE_BYTES + 1}\r\n\r\n`,
     );
     assert.equal(statusOf(announced), 400);
     assert.match(announced, /Connection: close/);
-    const chunk = `${(MAX_BODY_BYTES + 1).toString(16)}\r\n${' '.repeat(MAX_BODY_BYTES + 1)}\r\n`;
+    const chunk = `${(MAX_MESSAGE_BYTES + 1).toString(16)}\r\n${' '.repeat(MAX_MESSAGE_BYTES + 1)}\r\n`;
     const chunked = `POST /hello HTTP/1.1\r\nHost: node\r\nTransfer-Encoding: chunked\r\n\r\n${chunk}`;
     assert.deepEqual(bodyOf(await request(open(), chunked)), { error: 'body over 64 KiB' });
   });
--- a/test/scheduling/decisions/large-matching.test.ts
+++ b/test/scheduling/decisions/large-matching.test.ts
@@ -6,13 +6,14 @@
 const MACHINES = 200;
 const JOBS = 100;
 const TASKS_PER_JOB = 4;
+const RESOURCES = { cpus: 2, gpus: 0, memoryGb: 4, reportBytes: 1 };
 
 const tasks: MatchingTask[] = Array.from({ length: JOBS * TASKS_PER_JOB }, (_, index) => ({
   ...{ id: `t-${index}`, group: `j-${index % JOBS}` },
-  ...{ usage: { cpus: 2, gpus: 0, memoryGb: 4 }, requested: { cpus: 2, gpus: 0, memoryGb: 4 } },
+  ...{ usage: RESOURCES, requested: RESOURCES },
 }));
 const machines: MatchingMachine[] = Array.from({ length: MACHINES }, (_, index) => ({
-  ...{ id: `i-${index}`, zone: 'a', free: { cpus: 4, gpus: 0, memoryGb: 40 } },
+  ...{ id: `i-${index}`, zone: 'a', free: { cpus: 4, gpus: 0, memoryGb: 40, reportBytes: 400 } },
 }));
 
 describe('matching of the services of a partition', () => {
--- a/test/scheduling/decisions/matching.test.ts
+++ b/test/scheduling/decisions/matching.test.ts
@@ -14,7 +14,7 @@
 
 const open: MatchRules = { isAllowed: () => true, isZoneOpen: () => true, isMachineOpen: () => true, tierOf: () => 0 };
 
-const resources = (cpus: number, memoryGb: number) => ({ cpus, memoryGb, gpus: 0 });
+const resources = (cpus: number, memoryGb: number) => ({ cpus, memoryGb, gpus: 0, reportBytes: 0 });
 const task = (id: string, cpus: number, memoryGb = 1): MatchingTask => ({
   id,
   group: id,
--- a/test/scheduling/preemptor.test.ts
+++ b/test/scheduling/preemptor.test.ts
@@ -56,7 +56,9 @@
       unplaceableTasks: urgent.map((spec) => ({ view: jobs.get(spec.id), taskIndex: 0, placement: { failures: 0 } })),
       teamUsages: () => new Map(),
       freeResources: () =>
-        new Map<string, Resources>(machines.map(({ machineId }) => [machineId, { cpus: 0, gpus: 0, memoryGb: 60 }])),
+        new Map<string, Resources>(
+          machines.map(({ machineId }) => [machineId, { cpus: 0, gpus: 0, memoryGb: 60, reportBytes: 60_000 }]),
+        ),
     },
     evictionMarker: {
       isBeingEvicted: () => false,
--- a/test/workers/launch-invariant.test.ts
+++ b/test/workers/launch-invariant.test.ts
@@ -21,7 +21,8 @@
 
 function violationsOf(plan: Partial<ReconciliationPlan>, fencingToken: number): number {
   const invariants = new Invariants(noLog);
-  const complete: ReconciliationPlan = { commands: [], releases: [], needsNewToken: false, keptExitCount: 0, ...plan };
+  const none = { commands: [], releases: [], needsNewToken: false, keptExitCount: 0, heldLaunchCount: 0 };
+  const complete: ReconciliationPlan = { ...none, ...plan };
   checkLaunchesRuledOut(launchedWorker(), complete, { fencingToken, invariants });
   return Object.values(invariants.takeCounts()).reduce((sum, count) => sum + count, 0);
 }
--- a/test/workers/reconciliation.test.ts
+++ b/test/workers/reconciliation.test.ts
@@ -14,7 +14,7 @@
 const FENCING_TOKEN = 7;
 const TASK_ID = 'j-000001/0';
 const FIRST_ATTEMPT = { taskId: TASK_ID, attempt: 1 };
-const NO_ACTION = { commands: [], releases: [], needsNewToken: false, keptExitCount: 0 };
+const NO_ACTION = { commands: [], releases: [], needsNewToken: false, keptExitCount: 0, heldLaunchCount: 0 };
 const PERMISSIONS: CommandPermissions = {
   fencingToken: FENCING_TOKEN,
   canLaunch: true,
--- a/testing/cluster-workers.ts
+++ b/testing/cluster-workers.ts
@@ -1,5 +1,5 @@
 /** The machines of a cluster: adds and removes them, sends their heartbeats, and keeps the history of their tasks. */
-import type { Resources } from '../src/domain/resources.js';
+import { MAX_MESSAGE_BYTES } from '../src/constants/protocol.js';
 import type { HttpResponse } from '../src/net/http-client.js';
 import type { Random } from '../src/net/random.js';
 import type { FakeClock } from './fake-clock.js';
@@ -10,11 +10,18 @@
 import { ANSWER_TIMEOUT_MS } from './heartbeat-sender.js';
 import type { InvariantChecker } from './invariant-checker.js';
 import type { LinkFaults } from './link-faults.js';
+import type { MachineResources } from './machine-resources.js';
 import type { JobDescription, WorkerEnvironment, WorkerOptions } from './worker-environment.js';
 import type { TaskRun } from './worker-events.js';
 
+const TOO_LARGE: HttpResponse = { status: 400, body: { error: 'body over 64 KiB' } };
+
 /** Resources of machines whose type the cloud does not list. */
-const UNLIMITED_RESOURCES: Resources = { cpus: Infinity, gpus: Infinity, memoryGb: Infinity };
+const UNLIMITED_RESOURCES: MachineResources = {
+  cpus: Infinity,
+  gpus: Infinity,
+  memoryGb: Infinity,
+};
 
 /** The environment of the machines. */
 export interface ClusterWorkersDependencies {
@@ -56,7 +63,7 @@
   addWorker(options: WorkerOptions): FakeWorker {
     const { clock, cloud, network, checker } = this.dependencies;
     const { machineId, machineType = 'c8', zone = 'a', isSpot = false } = options;
-    const capacity = (cloud.machineType(machineType) as Resources | undefined) ?? UNLIMITED_RESOURCES;
+    const capacity = (cloud.machineType(machineType) as MachineResources | undefined) ?? UNLIMITED_RESOURCES;
     const worker = new FakeWorker(clock, options, capacity, this.environment);
     this.workers.set(machineId, worker);
     checker.machineUp(machineId, { machineType, zone, isSpot });
@@ -66,7 +73,9 @@
       checker.taskEnded(clock.now(), machineId, taskId, reason);
       this.dependencies.onTaskEnd(taskId, reason);
     };
-    network.serve(worker.endpoint, (_method, path, body, sender) => worker.handle(path, body, sender));
+    network.serve(worker.endpoint, (_method, path, body, sender) =>
+      this.isTooLarge(machineId, 'commands', body) ? TOO_LARGE : worker.handle(path, body, sender),
+    );
     cloud.machines.set(machineId, { machineType, zone, isSpot, state: 'running', ageS: 100 });
     return worker;
   }
@@ -112,6 +121,8 @@
     heartbeat: object,
   ): Promise<HttpResponse | undefined> {
     const { clock, network, random } = this.dependencies;
+    // There is no report that the worker may send.
+    if (this.isTooLarge(machineId, 'report', heartbeat)) return undefined;
     const sendFrom = (from: string) =>
       network
         .client(from)
@@ -125,6 +136,14 @@
     return sendFrom(machineId);
   }
 
+  /** Whether the body of a request exceeds the protocol's limit, which is reported to the checker. */
+  private isTooLarge(machineId: string, kind: 'report' | 'commands', body: unknown): boolean {
+    const { checker, clock } = this.dependencies;
+    const bytes = Buffer.byteLength(JSON.stringify(body) ?? '');
+    if (bytes > MAX_MESSAGE_BYTES) checker.messageTooLarge(clock.now(), machineId, `${kind} of ${bytes} bytes`);
+    return bytes > MAX_MESSAGE_BYTES;
+  }
+
   /** All runs of a task on any machine, in the order of their starts. */
   runs(taskId: string): (Omit<TaskRun, 'taskId'> & { machineId: string })[] {
     this.rememberWorkers();
--- a/testing/fake-worker.ts
+++ b/testing/fake-worker.ts
@@ -1,5 +1,4 @@
 /** A fake worker: it executes commands, keeps a lease, and sends heartbeats. */
-import { type Resources, subtractResources } from '../src/domain/resources.js';
 import type { Clock } from '../src/net/clock.js';
 import type { HttpResponse } from '../src/net/http-client.js';
 import {
@@ -11,6 +10,7 @@
   type TaskStatus,
 } from './fake-worker-wire-codec.js';
 import { HeartbeatSender, type SendHeartbeat } from './heartbeat-sender.js';
+import { type MachineResources, subtractTask } from './machine-resources.js';
 import { jobIdOf } from './task-id.js';
 import { launchRefusal, type WorkerEnvironment, type WorkerOptions } from './worker-environment.js';
 import type { AcceptedLaunch, CommandDelivery, TaskRun } from './worker-events.js';
@@ -54,7 +54,7 @@
   constructor(
     private readonly clock: Clock,
     readonly options: WorkerOptions,
-    private readonly capacity: Resources,
+    private readonly capacity: MachineResources,
     private readonly environment: WorkerEnvironment,
   ) {
     this.endpoint = `${options.machineId}:9000`;
@@ -232,7 +232,7 @@
   private launch({ taskId, attempt }: TaskCommand, known: Task | undefined, delivery: CommandDelivery): void {
     if (known?.attempt === attempt) return;
     const job = this.environment.describe(jobIdOf(taskId));
-    const dueAt = this.clock.now() + (job === undefined || this.images.has(job.image) ? 0 : this.imageMs);
+    const dueAt = this.clock.now() + this.fetchMs(job?.image);
     // The protocol does not say which of two attempts a heartbeat then reports: this worker keeps the running one.
     if (job !== undefined && known !== undefined && known.state !== 'exited') return;
     const refusal = launchRefusal(job, this.freeResources());
@@ -243,14 +243,14 @@
     if (dueAt <= this.clock.now()) this.start(taskId, task);
   }
 
-  private get imageMs(): number {
-    return this.options.imageMs ?? 0;
+  private fetchMs(image: string | undefined): number {
+    return image === undefined || this.images.has(image) ? 0 : (this.options.imageMs ?? 0);
   }
 
-  private freeResources(): Resources {
+  private freeResources(): MachineResources {
     const free = { ...this.capacity };
     for (const [taskId, task] of this.tasks) {
-      if (task.state !== 'exited') subtractResources(free, this.environment.describe(jobIdOf(taskId))!);
+      if (task.state !== 'exited') subtractTask(free, this.environment.describe(jobIdOf(taskId))!);
     }
     return free;
   }
--- a/testing/invariant-checker.ts
+++ b/testing/invariant-checker.ts
@@ -22,6 +22,7 @@
   | 'started_cancelled'
   | 'left_waiting'
   | 'too_early'
+  | 'message_too_large'
   | PlacementHistoryRule;
 
 /** Longest time for which a job may wait while there is room for it, after all faults have ended. */
@@ -94,6 +95,11 @@
     if (machine !== undefined) machine.isUsable = isUsable;
   }
 
+  /** A worker can't send its report, or refuses commands, because they exceed the protocol's limit. */
+  messageTooLarge(at: number, machineId: string, message: string): void {
+    this.addViolation('message_too_large', at, `${machineId}: ${message}`);
+  }
+
   /** The machine no longer exists, nor do the tasks that ran on it. */
   machineGone(at: number, machineId: string): void {
     for (const run of [...this.observed.runs])
--- a/testing/placement-rules.ts
+++ b/testing/placement-rules.ts
@@ -1,6 +1,6 @@
 /** Where tasks may run according to the protocol: machine types, zones, free resources and team limits. */
 import type { MachineType } from '../src/domain/machine-type.js';
-import { resourcesOf, subtractResources } from '../src/domain/resources.js';
+import { machineResourcesOf, subtractTask } from './machine-resources.js';
 import type { ObservedCluster, ObservedMachine } from './observed-cluster.js';
 import type { Submission } from './submission-wire-codec.js';
 
@@ -96,10 +96,10 @@
   private freeSlotsOn(machineId: string, machine: ObservedMachine, spec: Submission): number {
     const machineType = this.machineTypes.find((each) => each.name === machine.machineType);
     if (machineType === undefined) return 0;
-    const free = resourcesOf(machineType);
+    const free = machineResourcesOf(machineType);
     for (const run of this.observed.runs) {
       const other = run.machineId === machineId ? this.observed.jobs.get(run.jobId)?.spec : undefined;
-      if (other !== undefined) subtractResources(free, other);
+      if (other !== undefined) subtractTask(free, other);
     }
     const amounts = (['cpus', 'gpus', 'memoryGb'] as const).filter((amount) => spec[amount] > 0);
     return Math.max(
--- a/testing/submission-wire-codec.ts
+++ b/testing/submission-wire-codec.ts
@@ -4,7 +4,8 @@
 type OptionalField = 'machineTypes' | 'zone' | 'deadlineS';
 
 /** A job as its user submits it. */
-export interface Submission extends Omit<JobSpec, OptionalField>, Partial<Pick<JobSpec, OptionalField>> {
+export interface Submission
+  extends Omit<JobSpec, OptionalField | 'reportBytes'>, Partial<Pick<JobSpec, OptionalField>> {
   /** Jobs that must be done before this one starts. */
   dependencies?: readonly string[] | null;
 }
--- a/testing/worker-environment.ts
+++ b/testing/worker-environment.ts
@@ -1,7 +1,7 @@
 /** Configuration of a fake worker, and the state that all workers of a scenario share. */
-import type { Resources } from '../src/domain/resources.js';
 import type { FakeGangs } from './fake-gangs.js';
 import type { ExitReason } from './fake-worker-wire-codec.js';
+import type { MachineResources } from './machine-resources.js';
 import type { Submission } from './submission-wire-codec.js';
 
 /** The part of a job that workers need; its user uploads it. */
@@ -38,7 +38,7 @@
 }
 
 /** Why a worker with these free resources refuses to launch a task; undefined if it launches it. */
-export function launchRefusal(job: JobDescription | undefined, free: Resources): ExitReason | undefined {
+export function launchRefusal(job: JobDescription | undefined, free: MachineResources): ExitReason | undefined {
   if (job === undefined) return 'unknown';
   const isFitting = job.cpus <= free.cpus && job.gpus <= free.gpus && job.memoryGb <= free.memoryGb;
   return isFitting ? undefined : 'insufficient_resources';
