Scale out for all tasks of an array that a plan lists only in part

Cause: a plan lists at most 400 tasks of a job, fewer than one machine takes if they are small, and the demand for machines counted the listed ones only.

Now the demand of a job whose list is full counts all its waiting tasks that the team's limit allows. Jobs of at most 400 tasks are counted as before.

--- a/src/autoscaling/capacity-needs.ts
+++ b/src/autoscaling/capacity-needs.ts
@@ -1,5 +1,6 @@
 /** Finds the capacity that pending tasks need, by job. */
 import { MAX_FAILURES_FOR_SCALE_OUT } from '../constants/autoscaling.js';
+import { MAX_PLAN_TASKS } from '../constants/scheduling.js';
 import type { JobSpec } from '../domain/job.js';
 import type { MachineInventory } from '../inventory/machine-inventory.js';
 import type { ClusterState } from '../records/cluster-state.js';
@@ -23,7 +24,9 @@
     const view = clusterState.jobs.get(jobId);
     if (view === undefined) continue;
     const { spec } = view.record;
-    const taskCount = countTasksToScaleOutFor(spec, pendingTasks, inventory);
+    const isListCut = spec.kind !== 'gang' && pendingTasks.length >= MAX_PLAN_TASKS;
+    const pendingCount = isListCut ? planner.countStartableTasks(view) : pendingTasks.length;
+    const taskCount = countTasksToScaleOutFor(spec, { pendingTasks, pendingCount }, inventory);
     if (taskCount === 0) continue;
     const { tasksPerZone } = view;
     const allowedZones = zones.filter((zone) => isZoneAllowed(spec, tasksPerZone, zone));
@@ -43,16 +46,16 @@
 }
 
 /**
- * Number of the job's pending tasks that machines are added for. A job whose tasks fail repeatedly gets at most one to retry
+ * Number of the job's pending tasks that machines are added for, of `pendingCount` in all, some of which the planner lists. A job whose tasks fail repeatedly gets at most one to retry
  * on, and only if it may use none of the schedulable machines. A gang needs machines for all its tasks, and its next attempts
  * use the added machines as well.
  */
 function countTasksToScaleOutFor(
   spec: JobSpec,
-  pendingTasks: readonly PendingTask[],
+  { pendingTasks, pendingCount }: { pendingTasks: readonly PendingTask[]; pendingCount: number },
   inventory: Pick<MachineInventory, 'schedulableMachines'>,
 ): number {
   const isFailing = pendingTasks.some((task) => task.placement.failures > MAX_FAILURES_FOR_SCALE_OUT);
-  if (!isFailing || spec.kind === 'gang') return pendingTasks.length;
+  if (!isFailing || spec.kind === 'gang') return pendingCount;
   return inventory.schedulableMachines().some((machine) => isAllowedOn(spec, machine)) ? 0 : 1;
 }
--- a/src/records/placement-rules.ts
+++ b/src/records/placement-rules.ts
@@ -37,6 +37,13 @@
   (limit.cpus === 0 || cpus === 0 || usage.cpus + cpus <= limit.cpus + TOLERANCE) &&
   (limit.gpus === 0 || gpus === 0 || usage.gpus + gpus <= limit.gpus + TOLERANCE);
 
+/** How many more tasks of the job the team's limits allow; Infinity if none limits it. */
+export function countTasksWithinQuota({ limit }: Team, usage: TeamUsage, job: JobSpec): number {
+  const countWithin = (limited: number, used: number, perTask: number): number =>
+    limited === 0 || perTask === 0 ? Infinity : Math.max(0, Math.floor((limited - used + TOLERANCE) / perTask));
+  return Math.min(countWithin(limit.cpus, usage.cpus, job.cpus), countWithin(limit.gpus, usage.gpus, job.gpus));
+}
+
 /** Whether the job counts against any limit of its team. The usage of other jobs is not recorded. */
 export const isQuotaLimited = ({ limit }: Team, job: JobSpec): boolean =>
   (limit.cpus > 0 && job.cpus > 0) || (limit.gpus > 0 && job.gpus > 0);
--- a/src/scheduling/placement-planner.ts
+++ b/src/scheduling/placement-planner.ts
@@ -15,7 +15,8 @@
 import type { Random } from '../net/random.js';
 import { Priority } from '../net/token-bucket.js';
 import type { WorkTurns } from '../net/work-turns.js';
-import type { ClusterState } from '../records/cluster-state.js';
+import type { ClusterState, JobView } from '../records/cluster-state.js';
+import { countTasksWithinQuota } from '../records/placement-rules.js';
 import { jobPlacementPrefix } from '../records/record-keys.js';
 import type { TeamAccounting } from '../records/team-accounting.js';
 import { startPriority } from '../records/transaction-priority.js';
@@ -154,6 +155,15 @@
     return this.usage.teamUsages();
   }
 
+  /** Number of the job's tasks that wait for a machine and that its team's limits allow now. */
+  countStartableTasks(view: JobView): number {
+    const { spec } = view.record;
+    const inFlightCount = this.inFlight.taskIndexesOf(view.jobId)?.size ?? 0;
+    const queuedCount = spec.taskCount - view.doneCount - view.placedCount - inFlightCount;
+    const usage = this.teamUsages().get(spec.team) ?? { cpus: 0, gpus: 0 };
+    return Math.min(queuedCount, countTasksWithinQuota(this.roundDependencies.teams.get(spec.team)!, usage, spec));
+  }
+
   private async plan(turns: WorkTurns): Promise<void> {
     const { clusterState, inventory, leadership, clock } = this.dependencies;
     this.retryBackoff.prune(clock.now());
--- a/test/scenarios/worker-reports.test.ts
+++ b/test/scenarios/worker-reports.test.ts
@@ -34,6 +34,22 @@
     assert.ok(cluster!.workers.has('i-000001'), 'the machine is never taken for dead');
   });
 
+  it('get all machines that they need at once', async () => {
+    await startCluster({ runMs: 60_000, bootMs: 15_000 });
+    await cluster!.submit({ id: 'j-small', taskCount: 1600, ...SMALL_TASK });
+    await cluster!.advance(30_000);
+    assert.equal((await statusOf('j-small')).running, 1600);
+  });
+
+  it('get no more machines than their team may use', async () => {
+    await startCluster({ runMs: 60_000, bootMs: 5000, teams: [{ name: 'red', cpus_max: 40 }] });
+    await cluster!.submit({ id: 'j-small', taskCount: 5000, ...SMALL_TASK });
+    await cluster!.advance(40_000);
+    assert.equal((await statusOf('j-small')).running, 1000);
+    // Two have space for these; all 5,000 tasks would need nine.
+    assert.ok(cluster!.workers.size <= 3, `${cluster!.workers.size} machines`);
+  });
+
   it('complete when they end faster than their exits are forgotten', async () => {
     await startCluster({ runMs: 1000, nodes: 1 });
     await cluster!.submit({ id: 'j-short', taskCount: 2000, ...SMALL_TASK, estimatedRunS: 1 });
