--- a/packages/standby/src/takeover-barrier.ts
+++ b/packages/standby/src/takeover-barrier.ts
@@ -9,7 +9,7 @@
 /** One continuous term in which this process leads a role, identified by object identity. */
 export interface RoleTerm {
   /** Store revision of the acquisition. */
-  readonly startRevision: number;
+  readonly startRevision: number | bigint;
 }
 
 /** What this process currently knows about a role. */
@@ -21,7 +21,7 @@
   /** Whether the store has recently confirmed that the replica of the records is complete. */
   readonly isReplicaFresh: boolean;
   /** Store revision up to which the replica is complete. */
-  readonly replicaRevision: number;
+  readonly replicaRevision: number | bigint;
 }
 
 const OPEN: BarrierOutcome = { kind: 'open' };
--- a/packages/standby/src/takeover-timeline.ts
+++ b/packages/standby/src/takeover-timeline.ts
@@ -8,7 +8,7 @@
   /** The node that led the role before. */
   readonly formerLeader: string;
   /** Fencing token of the former leader; together with the role it identifies the takeover on both nodes. */
-  readonly formerFencingToken: number;
+  readonly formerFencingToken: number | bigint;
   /** Monotonic ms when the former leader was last heard from. */
   readonly lastSeenAt: number;
 }
--- a/packages/standby/src/takeover-tracer.ts
+++ b/packages/standby/src/takeover-tracer.ts
@@ -5,7 +5,7 @@
 export interface LeadershipLoss {
   readonly role: string;
   /** Fencing token under which this process led the role. */
-  readonly fencingToken: number;
+  readonly fencingToken: number | bigint;
   /** Monotonic ms when the store last confirmed the lease, and when the loss was noticed. */
   readonly leaseConfirmedAt: number;
   readonly noticedAt: number;
--- a/packages/standby/src/tracing.ts
+++ b/packages/standby/src/tracing.ts
@@ -60,7 +60,7 @@
 const toMilliseconds = ([seconds, nanoseconds]: HrTime): number => seconds * 1000 + nanoseconds / 1e6;
 
 /** The common parent context of the spans that both nodes record for one takeover. */
-function parentContextOf(role: string, formerFencingToken: number): Context {
+function parentContextOf(role: string, formerFencingToken: number | bigint): Context {
   const digest = createHash('sha256').update(`${role} ${formerFencingToken}`).digest('hex');
   return trace.setSpanContext(ROOT_CONTEXT, {
     traceId: digest.slice(0, TRACE_ID_DIGITS),
@@ -97,7 +97,9 @@
     const vacantAt = steps.get('vacant')!;
     const begin = Number.isFinite(report.lastSeenAt) ? report.lastSeenAt : vacantAt;
     const end = Math.max(...steps.values());
-    const attributes = { role, formerLeader, formerFencingToken };
+    // Attributes of spans have no type for large integers.
+    const tokenAttribute = typeof formerFencingToken === 'bigint' ? String(formerFencingToken) : formerFencingToken;
+    const attributes = { role, formerLeader, formerFencingToken: tokenAttribute };
     const takeoverSpan = this.tracer.startSpan(
       'takeover',
       { startTime: this.toWallClockMs(begin), attributes },
--- a/packages/standby/test/takeover-barrier.test.ts
+++ b/packages/standby/test/takeover-barrier.test.ts
@@ -126,7 +126,7 @@
   });
 
   it('reports the first unmet precondition in a fixed order, and reconciles once per term', () => {
-    const reconciled: number[] = [];
+    const reconciled: (number | bigint)[] = [];
     const barrier = new TakeoverBarrier(({ startRevision }) => reconciled.push(startRevision));
     const term = { startRevision: 9 };
     const complete = { term, isLeaseConfirmed: true, isReplicaFresh: true, replicaRevision: 9 };
--- a/src/api/api-server.ts
+++ b/src/api/api-server.ts
@@ -12,6 +12,7 @@
 import { EventCounts } from '../logging/event-counts.js';
 import type { Log } from '../logging/log.js';
 import type { RefusalLog } from '../logging/refusal-log.js';
+import { stringifyJson } from '../net/json.js';
 import type { JsonResponse } from '../net/json-response.js';
 import { type ConnectionKind, ConnectionTable } from './connection-table.js';
 import { readBody } from './request-body.js';
@@ -193,7 +194,7 @@
 
 /** `onSent`: called when the response has been handed to the socket; if given, the connection is closed afterwards. */
 function send(response: ServerResponse, answer: JsonResponse, onSent?: () => void): void {
-  const body = JSON.stringify(answer.body);
+  const body = stringifyJson(answer.body);
   const { status } = answer;
   const headers = ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body))];
   if (status === 405) headers.push('Allow', 'GET, POST');
--- a/src/api/job-lookup.ts
+++ b/src/api/job-lookup.ts
@@ -1,6 +1,7 @@
 /** Looks up the status of jobs: states that can't change any more are taken from memory, all others are confirmed by the store. */
 import { MAX_POLL_ATTEMPTS, POLL_BATCHING_MS, POLL_DEADLINE_MS } from '../constants/api.js';
 import { REPLICA_FRESH_MS } from '../constants/leadership.js';
+import type { Count } from '../domain/count.js';
 import type { DependencyStates } from '../jobs/dependency-states.js';
 import type { Log } from '../logging/log.js';
 import type { RefusalLog } from '../logging/refusal-log.js';
@@ -39,7 +40,7 @@
   /** A state that can't change any more, or a replica that is complete as of the request. */
   | { basis: 'settled' | 'replica' }
   /** A comparison with the store at this revision. */
-  | { basis: 'comparison'; confirmedRevision: number };
+  | { basis: 'comparison'; confirmedRevision: Count };
 
 const SETTLED: ResultBasis = { basis: 'settled' };
 const REPLICA: ResultBasis = { basis: 'replica' };
@@ -212,7 +213,7 @@
   }
 
   /** The readings were made before the comparison, so that it confirms exactly what is reported. */
-  private completeCompared(compared: readonly UndecidedLookup[], confirmedRevision: number): void {
+  private completeCompared(compared: readonly UndecidedLookup[], confirmedRevision: Count): void {
     const basis: ResultBasis = { basis: 'comparison', confirmedRevision };
     for (const { lookup, reading } of compared) this.complete(lookup, this.resultOf(lookup, reading), basis);
   }
--- a/src/api/record-comparison.ts
+++ b/src/api/record-comparison.ts
@@ -1,4 +1,5 @@
 /** Compares this node's records of jobs with the store's, by a transaction that consists of conditions. */
+import type { Count } from '../domain/count.js';
 import { Priority } from '../net/token-bucket.js';
 import { FINAL_JOB_PREFIX, finalJobKey, jobKey } from '../records/record-keys.js';
 import type { Replica } from '../store/replica.js';
@@ -13,7 +14,7 @@
 /** The result of a comparison. */
 export type ComparisonOutcome =
   /** As of this revision of the store, all compared records were the same. */
-  | { kind: 'equal'; revision: number }
+  | { kind: 'equal'; revision: Count }
   /** Some of the records have changed, and were read again. */
   | { kind: 'changed' }
   /** The store refused the comparison, or did not answer it. */
--- a/src/api/request-body.ts
+++ b/src/api/request-body.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import { MAX_MESSAGE_BYTES } from '../constants/protocol.js';
+import { parseJson } from '../net/json.js';
 
 /** The parsed body, or the reason why there is none. */
 export type RequestBody = { kind: 'json'; value: unknown } | { kind: 'malformed' } | { kind: 'too_large' };
@@ -26,15 +27,15 @@
     else if (!wasTooLarge) onBody(TOO_LARGE);
   });
   request.on('end', () => {
-    if (sizeBytes <= MAX_MESSAGE_BYTES) onBody(parseJson(chunks));
+    if (sizeBytes <= MAX_MESSAGE_BYTES) onBody(parseBody(chunks));
   });
 }
 
 /** Concatenates the chunks only if there are several: most heartbeats arrive in one. */
-function parseJson(chunks: readonly Buffer[]): RequestBody {
+function parseBody(chunks: readonly Buffer[]): RequestBody {
   const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
   try {
-    return { kind: 'json', value: JSON.parse(body.toString('utf8')) };
+    return { kind: 'json', value: parseJson(body.toString('utf8')) };
   } catch {
     return { kind: 'malformed' };
   }
--- a/src/autoscaling/unresponsive-machine-detector.ts
+++ b/src/autoscaling/unresponsive-machine-detector.ts
@@ -1,5 +1,6 @@
 /** Finds machines that have stopped responding, based on the partition leaders' reports of their heartbeats. */
 import { UNSEEN_MACHINE_SILENCE_FACTOR, ZONE_RECOVERY_MS } from '../constants/autoscaling.js';
+import type { Count } from '../domain/count.js';
 import type { MachineInfo } from '../domain/machine-state.js';
 import { partitionRole } from '../domain/role.js';
 import type { Settings } from '../domain/settings.js';
@@ -24,7 +25,7 @@
 /** Monitors heartbeats, and tracks which zones were recently isolated and when each role got its current leader. */
 export class UnresponsiveMachineDetector {
   /** By role: when its current leader was first seen. */
-  private readonly leaderSince = new Map<string, { leaseId: number; atMs: number }>();
+  private readonly leaderSince = new Map<string, { leaseId: Count; atMs: number }>();
   /** By zone: when it was last seen isolated. */
   private readonly zoneIsolatedAtMs = new Map<string, number>();
 
--- a/src/domain/machine-state.ts
+++ b/src/domain/machine-state.ts
@@ -1,4 +1,5 @@
 /** What nodes know about a machine; shared by heartbeats, gossip and placement. */
+import type { Count } from './count.js';
 
 /** How a machine identifies itself in each of its heartbeats. */
 export interface MachineIdentity {
@@ -10,9 +11,9 @@
   zone: string;
   isSpot: boolean;
   /** The epoch of the machine's agent: it grows with each lease that expires. */
-  agentEpoch: number;
+  agentEpoch: Count;
   /** The sequence number of the newest heartbeat received: heartbeats with lower numbers are late copies. */
-  sequence: number;
+  sequence: Count;
 }
 
 /** The state of a machine as reported by the leader of its partition. */
@@ -49,5 +50,5 @@
   partitionLeader: string;
   /** Monotonic ms of this node's clock. */
   lastHeartbeatAt: number;
-  sequence: number;
+  sequence: Count;
 }
--- a/src/domain/machine.ts
+++ b/src/domain/machine.ts
@@ -1,4 +1,5 @@
 /** The properties of machines that determine which tasks may run on them. */
+import type { Count } from './count.js';
 
 /** A machine as seen by the placement rules. */
 export interface Machine {
@@ -8,5 +9,5 @@
   zone: string;
   isSpot: boolean;
   /** The epoch of the machine's agent: it grows with each lease that expires. */
-  agentEpoch: number;
+  agentEpoch: Count;
 }
--- a/src/domain/task.ts
+++ b/src/domain/task.ts
@@ -1,4 +1,5 @@
 /** Task ids and placements. */
+import type { Count } from './count.js';
 
 /** The placement of one task. */
 export type TaskPlacement =
@@ -17,7 +18,7 @@
       failures: number;
       machineId: string;
       /** The epoch of the machine's agent that the placement is valid for. */
-      agentEpoch: number;
+      agentEpoch: Count;
       /** The grace period if the task is to be stopped; null: it is not to be stopped. */
       gracePeriodS: number | null;
       zone: string;
--- a/src/gossip/heartbeat-forwarder.ts
+++ b/src/gossip/heartbeat-forwarder.ts
@@ -4,6 +4,7 @@
  */
 import { FORWARD_TIMEOUT_MS } from '../constants/gossip.js';
 import type { Clock } from '../net/clock.js';
+import { stringifyJson } from '../net/json.js';
 import type { ForwardedHeartbeat, ForwardedHeartbeatAnswer, Message } from './messages.js';
 
 /** Dependencies of HeartbeatForwarder. */
@@ -33,7 +34,7 @@
   async forward(partitionLeader: string, heartbeat: unknown): Promise<ForwardedHeartbeatAnswer | undefined> {
     const { node, clock, send } = this.dependencies;
     const id = this.nextRequestId++;
-    const payload: ForwardedHeartbeat = { node, id, status: JSON.stringify(heartbeat) };
+    const payload: ForwardedHeartbeat = { node, id, status: stringifyJson(heartbeat) };
     const answered = new Promise<ForwardedHeartbeatAnswer | undefined>((resolve) => {
       this.pendingRequests.set(id, resolve);
     });
--- a/src/gossip/message-codec.ts
+++ b/src/gossip/message-codec.ts
@@ -5,8 +5,12 @@
  */
 import avro from 'avsc';
 
+import type { Count } from '../domain/count.js';
+import { AVRO_COUNT, isMisread } from './avro-count.js';
 import { arrayOf, nullable, record } from './avro-record.js';
+import { withoutLargeCounts } from './large-counts.js';
 import { MessageDecodeError } from './message-decode-error.js';
+import { MessageEncodeError } from './message-encode-error.js';
 import type {
   DeltaRequest,
   ForwardedHeartbeat,
@@ -18,67 +22,81 @@
 } from './messages.js';
 import { decodeStreamMessage, encodeStreamMessage, isStreamMessage } from './stream-codec.js';
 
-const machineUpdateSchema = record('MachineUpdate', {
-  machineId: 'string',
-  number: 'long',
-  endpoint: 'string',
-  machineType: 'string',
-  zone: 'string',
-  isSpot: 'boolean',
-  agentEpoch: 'long',
-  sequence: 'long',
-  heartbeatAgeMs: 'double',
-  stateAgeMs: 'double',
-  spotNoticeMs: nullable('double'),
-  isQuarantined: 'boolean',
-  isBackingOff: 'boolean',
-  isUnreached: 'boolean',
-  isSlow: 'boolean',
-  isMute: 'boolean',
-  images: arrayOf('string'),
-  failedJobs: arrayOf('string'),
-  partitionLeader: 'string',
-});
+/** How the counts in a message are encoded. */
+type CountEncoding =
+  /** By the library's `long`, which takes only counts up to 2^53. */
+  | 'long'
+  /** By `AVRO_COUNT`, which takes all. */
+  | typeof EXACT_COUNT;
 
-const gossipSchema = record('Gossip', {
-  node: 'string',
-  uptimeMs: 'double',
-  replicaAgeMs: 'double',
-  isWithoutStore: 'boolean',
-  clockMs: 'double',
-  echo: nullable(record('Echo', { incarnation: 'long', clockMs: 'double' })),
-  isLoaded: 'boolean',
-  version: 'long',
-  reachablePeers: arrayOf('string'),
-  incarnation: 'long',
-  messageNumber: 'long',
-  isSnapshot: 'boolean',
-  wantsSnapshot: 'boolean',
-  machines: arrayOf(machineUpdateSchema),
-  unchanged: record('UnchangedMachines', {
-    numbers: arrayOf('long'),
-    heartbeatAgesMs: arrayOf('long'),
-    sequences: arrayOf('long'),
-  }),
-  misroutedHeartbeats: arrayOf(record('MisroutedHeartbeat', { machineId: 'string', ageMs: 'double' })),
-  avoidedRoles: arrayOf('string'),
-  terminatedMachines: arrayOf('string'),
-});
+const NAMESPACE = 'dewlatch.mesh.v3';
+const EXACT_COUNT = 'Count';
 
-const recordChangeSchema = record('RecordChange', { key: 'string', value: nullable('string'), modRevision: 'long' });
-
-const replicaDeltaSchema = record('Delta', {
-  node: 'string',
-  incarnation: 'long',
-  version: 'long',
-  fromRevision: 'long',
-  afterRevision: 'long',
-  lastRevision: 'long',
-  isComplete: 'boolean',
-  completeRevision: 'long',
-  // Referenced by name: Avro allows one definition of a named type, and `news`, which precedes this field in the envelope, contains it.
-  changes: arrayOf('RecordChange'),
-});
+const machineUpdateSchema = (count: CountEncoding): avro.Schema =>
+  record('MachineUpdate', {
+    machineId: 'string',
+    number: 'long',
+    endpoint: 'string',
+    machineType: 'string',
+    zone: 'string',
+    isSpot: 'boolean',
+    agentEpoch: count,
+    sequence: count,
+    heartbeatAgeMs: 'double',
+    stateAgeMs: 'double',
+    spotNoticeMs: nullable('double'),
+    isQuarantined: 'boolean',
+    isBackingOff: 'boolean',
+    isUnreached: 'boolean',
+    isSlow: 'boolean',
+    isMute: 'boolean',
+    images: arrayOf('string'),
+    failedJobs: arrayOf('string'),
+    partitionLeader: 'string',
+  });
+
+const gossipSchema = (count: CountEncoding): avro.Schema =>
+  record('Gossip', {
+    node: 'string',
+    uptimeMs: 'double',
+    replicaAgeMs: 'double',
+    isWithoutStore: 'boolean',
+    clockMs: 'double',
+    echo: nullable(record('Echo', { incarnation: 'long', clockMs: 'double' })),
+    isLoaded: 'boolean',
+    version: 'long',
+    reachablePeers: arrayOf('string'),
+    incarnation: 'long',
+    messageNumber: 'long',
+    isSnapshot: 'boolean',
+    wantsSnapshot: 'boolean',
+    machines: arrayOf(machineUpdateSchema(count)),
+    unchanged: record('UnchangedMachines', {
+      numbers: arrayOf('long'),
+      heartbeatAgesMs: arrayOf('long'),
+      sequences: arrayOf(count),
+    }),
+    misroutedHeartbeats: arrayOf(record('MisroutedHeartbeat', { machineId: 'string', ageMs: 'double' })),
+    avoidedRoles: arrayOf('string'),
+    terminatedMachines: arrayOf('string'),
+  });
+
+const recordChangeSchema = (count: CountEncoding): avro.Schema =>
+  record('RecordChange', { key: 'string', value: nullable('string'), modRevision: count });
+
+const replicaDeltaSchema = (count: CountEncoding): avro.Schema =>
+  record('Delta', {
+    node: 'string',
+    incarnation: 'long',
+    version: 'long',
+    fromRevision: count,
+    afterRevision: count,
+    lastRevision: count,
+    isComplete: 'boolean',
+    completeRevision: count,
+    // Referenced by name: Avro allows one definition of a named type, and `news`, which precedes this field in the envelope, contains it.
+    changes: arrayOf('RecordChange'),
+  });
 
 /** The envelope's fields in encoding order; exactly one of them is not null. */
 interface Envelope {
@@ -90,22 +108,33 @@
   delta: ReplicaDelta | null;
 }
 
-const envelopeSchemas: Record<keyof Envelope, avro.Schema> = {
-  gossip: gossipSchema,
+const envelopeSchemas = (count: CountEncoding): Record<keyof Envelope, avro.Schema> => ({
+  gossip: gossipSchema(count),
   relay: record('ForwardedHeartbeat', { node: 'string', id: 'long', status: 'string' }),
   relayAnswer: record('RelayAnswer', { node: 'string', id: 'long', status: 'int', body: 'string' }),
-  news: record('News', { changes: arrayOf(recordChangeSchema) }),
-  ask: record('Ask', { node: 'string', fromRevision: 'long', afterRevision: 'long' }),
-  delta: replicaDeltaSchema,
-};
-
-const envelopeType = avro.Type.forSchema({
-  type: 'record',
-  name: 'Envelope',
-  namespace: 'dewlatch.mesh.v3',
-  fields: Object.entries(envelopeSchemas).map(([name, schema]) => ({ name, type: nullable(schema), default: null })),
+  news: record('News', { changes: arrayOf(recordChangeSchema(count)) }),
+  ask: record('Ask', { node: 'string', fromRevision: count, afterRevision: count }),
+  delta: replicaDeltaSchema(count),
 });
 
+const createEnvelopeType = (count: CountEncoding): avro.Type =>
+  avro.Type.forSchema(
+    {
+      type: 'record',
+      name: 'Envelope',
+      namespace: NAMESPACE,
+      fields: Object.entries(envelopeSchemas(count)).map(([name, schema]) => ({
+        ...{ name, type: nullable(schema), default: null },
+      })),
+    },
+    { registry: { [`${NAMESPACE}.${EXACT_COUNT}`]: AVRO_COUNT } },
+  );
+
+/** Encodes and decodes usual messages, several times as fast as the other type. */
+const envelopeType = createEnvelopeType('long');
+/** The same encoding, for messages with counts above 2^53. */
+const exactEnvelopeType = createEnvelopeType(EXACT_COUNT);
+
 /** Omitted fields are encoded as null. */
 function toEnvelope(message: Exclude<Message, { kind: 'standby_stream' }>): Partial<Envelope> {
   switch (message.kind) {
@@ -134,21 +163,82 @@
   throw new MessageDecodeError('peer message', 'its envelope is empty');
 }
 
+/** What the receiver of a message can decode. */
+export interface ReceiverAbilities {
+  /** Whether it decodes counts above 2^53; controllers of earlier versions reject a message with such a count. */
+  readsLargeCounts: boolean;
+}
+
+/** Controllers of earlier versions. */
+export const EARLIER_VERSION: ReceiverAbilities = { readsLargeCounts: false };
+
 /** Encoded messages, so that a message to several peers is encoded once. */
 const encodedMessages = new WeakMap<Message, Buffer>();
 
-/** Encodes a message. It must not be modified afterwards, since its bytes are cached for the next peer. */
-export function encodeMessage(message: Message): Buffer {
+/**
+ * Encodes a message. It must not be modified afterwards, since its bytes are cached for the next peer. Throws
+ * `MessageEncodeError` if the receiver could not decode it, or if a value has no encoding.
+ */
+export function encodeMessage(message: Message, receiver: ReceiverAbilities = EARLIER_VERSION): Buffer {
   const known = encodedMessages.get(message);
   if (known !== undefined) return known;
-  const isStream = message.kind === 'standby_stream';
-  const bytes = isStream ? encodeStreamMessage(message.payload) : envelopeType.toBuffer(toEnvelope(message));
+  if (message.kind === 'standby_stream') return cacheBytes(message, encodeStreamMessage(message.payload));
+  const envelope = toEnvelope(message);
+  try {
+    return cacheBytes(message, envelopeType.toBuffer(envelope));
+  } catch (error) {
+    return encodeLargeCounts(message, receiver, error);
+  }
+}
+
+function cacheBytes(message: Message, bytes: Buffer): Buffer {
   encodedMessages.set(message, bytes);
   return bytes;
 }
 
+/** Encodes a message that the usual type does not encode. */
+function encodeLargeCounts(
+  message: Exclude<Message, { kind: 'standby_stream' }>,
+  { readsLargeCounts }: ReceiverAbilities,
+  cause: unknown,
+): Buffer {
+  try {
+    if (readsLargeCounts) return exactEnvelopeType.toBuffer(toEnvelope(message));
+    if (message.kind === 'gossip') return envelopeType.toBuffer({ gossip: withoutLargeCounts(message.payload) });
+  } catch (error) {
+    throw new MessageEncodeError(message.kind, { cause: error });
+  }
+  throw new MessageEncodeError(message.kind, { cause });
+}
+
 /** Decodes a message; throws if the bytes are not a valid message. */
 export function decodeMessage(bytes: Buffer): Message {
   if (isStreamMessage(bytes)) return { kind: 'standby_stream', payload: decodeStreamMessage(bytes) };
-  return fromEnvelope(envelopeType.fromBuffer(bytes) as Envelope);
+  return fromEnvelope(decodeEnvelope(bytes));
+}
+
+function decodeEnvelope(bytes: Buffer): Envelope {
+  const envelope = decodeUsualEnvelope(bytes);
+  const isExact = envelope !== undefined && !countsOf(envelope).some(isMisread);
+  return isExact ? envelope : (exactEnvelopeType.fromBuffer(bytes) as Envelope);
+}
+
+/** Returns undefined if the usual type can't decode the bytes. */
+function decodeUsualEnvelope(bytes: Buffer): Envelope | undefined {
+  try {
+    return envelopeType.fromBuffer(bytes) as Envelope;
+  } catch {
+    return undefined;
+  }
+}
+
+/** The counts in a message that may be above 2^53. */
+function countsOf({ gossip, news, ask, delta }: Envelope): Count[] {
+  return [
+    ...(gossip === null ? [] : gossip.unchanged.sequences),
+    ...(gossip?.machines ?? []).flatMap(({ agentEpoch, sequence }) => [agentEpoch, sequence]),
+    ...[...(news?.changes ?? []), ...(delta?.changes ?? [])].map(({ modRevision }) => modRevision),
+    ...(ask === null ? [] : [ask.fromRevision, ask.afterRevision]),
+    ...(delta === null ? [] : [delta.fromRevision, delta.afterRevision, delta.lastRevision, delta.completeRevision]),
+  ];
 }
--- a/src/gossip/messages.ts
+++ b/src/gossip/messages.ts
@@ -4,6 +4,7 @@
  */
 import type { StreamMessage } from '@dewlatch/standby';
 
+import type { Count } from '../domain/count.js';
 import type { MachineState } from '../domain/machine-state.js';
 import type { SerializedChange } from '../store/replica.js';
 
@@ -66,7 +67,7 @@
   /** ms since each machine's last heartbeat, rounded. */
   heartbeatAgesMs: number[];
   /** The sequence number of each machine's last heartbeat. */
-  sequences: number[];
+  sequences: Count[];
 }
 
 /** A heartbeat that a worker sent to a node that does not lead its partition. */
@@ -105,9 +106,9 @@
 export interface DeltaRequest {
   node: string;
   /** The revision up to which the sender's replica is complete. */
-  fromRevision: number;
+  fromRevision: Count;
   /** The revision up to which the sender already has the receiver's later changes, since an answer may take several messages. */
-  afterRevision: number;
+  afterRevision: Count;
 }
 
 /** The changes in the sender's replica after the requested revision, as many as fit in one message. */
@@ -115,14 +116,14 @@
   node: string;
   incarnation: number;
   version: number;
-  fromRevision: number;
-  afterRevision: number;
+  fromRevision: Count;
+  afterRevision: Count;
   /** The revision of the last change. */
-  lastRevision: number;
+  lastRevision: Count;
   /** False if there are more changes after `lastRevision`. */
   isComplete: boolean;
   /** A replica complete up to `fromRevision` is complete up to this revision once it has applied all the changes. */
-  completeRevision: number;
+  completeRevision: Count;
   changes: SerializedChange[];
 }
 
--- a/src/gossip/peer-links.ts
+++ b/src/gossip/peer-links.ts
@@ -30,6 +30,7 @@
       const connection = new PeerConnection({
         address,
         clock,
+        log,
         compose: () => compose(node),
         onConnected: () => onConnected(node),
       });
--- a/src/gossip/peer-server.ts
+++ b/src/gossip/peer-server.ts
@@ -4,9 +4,10 @@
 import { MAX_GOSSIP_BYTES, PEER_LINK_IDLE_MS } from '../constants/gossip.js';
 import type { Log } from '../logging/log.js';
 import { parseAddress } from '../net/address.js';
-import { FrameDecoder } from './frames.js';
+import { encodeFrame, FrameDecoder } from './frames.js';
 import { decodeMessage } from './message-codec.js';
 import type { Message } from './messages.js';
+import { encodeAbilities } from './peer-abilities.js';
 import { isStreamMessage } from './stream-codec.js';
 
 /** Connections accepted for each peer: old ones may still be open when a peer reconnects. */
@@ -48,6 +49,7 @@
     socket.on('error', () => socket.destroy());
     socket.on('close', () => this.sockets.delete(socket));
     socket.on('data', (chunk) => this.readChunk(socket, frames, chunk));
+    socket.write(encodeFrame(encodeAbilities()));
   }
 
   /** A message that can't be decoded closes the connection, since the bytes after it may be misread as well. */
--- a/src/gossip/received-machine-updates.ts
+++ b/src/gossip/received-machine-updates.ts
@@ -1,4 +1,5 @@
 /** Stores the machine updates received from each peer, to resolve the machine numbers in its later messages. */
+import type { Count } from '../domain/count.js';
 import type { Gossip, MachineUpdate, UnchangedMachineColumns } from './messages.js';
 
 /** A machine of which only these fields have changed since its last full update. */
@@ -6,7 +7,7 @@
   /** The last full update. */
   machine: MachineUpdate;
   heartbeatAgeMs: number;
-  sequence: number;
+  sequence: Count;
 }
 
 /** The machine updates of one message. */
--- a/src/gossip/replica-freshness.ts
+++ b/src/gossip/replica-freshness.ts
@@ -12,6 +12,7 @@
 import { CLOCK_DRIFT } from '../constants/clocks.js';
 import { DELTA_BYTES } from '../constants/gossip.js';
 import { REPLICA_FRESH_MS } from '../constants/leadership.js';
+import type { Count } from '../domain/count.js';
 import type { Clock } from '../net/clock.js';
 import { deserializeChanges, type Replica } from '../store/replica.js';
 import type { DeltaRequest, Gossip, Message, ReplicaDelta } from './messages.js';
@@ -25,7 +26,7 @@
 /** A partly received delta; all of its messages must have the same version of the peer's replica. */
 interface PendingDelta extends ReplicaVersion {
   /** The revision of the last change received. */
-  afterRevision: number;
+  afterRevision: Count;
 }
 
 /** Dependencies of ReplicaFreshness. */
@@ -93,7 +94,7 @@
     this.sendDeltaRequest(node, revision, revision);
   }
 
-  private sendDeltaRequest(to: string, fromRevision: number, afterRevision: number): void {
+  private sendDeltaRequest(to: string, fromRevision: Count, afterRevision: Count): void {
     const { node, send } = this.dependencies;
     send(to, { kind: 'delta_request', payload: { node, fromRevision, afterRevision } });
   }
--- a/src/gossip/sent-machine-updates.ts
+++ b/src/gossip/sent-machine-updates.ts
@@ -46,6 +46,9 @@
   bytesLeft: number;
 }
 
+/** Age in ms sent for a machine without a heartbeat, in place of infinity. */
+const MAX_HEARTBEAT_AGE_MS = 1e12;
+
 /** All numbers are discarded when they exceed twice the count of machines by more than this. */
 const MAX_SPARE_NUMBERS = 100;
 
@@ -103,7 +106,7 @@
     // The remaining time of a spot notice changes constantly, so such a machine is always sent in full.
     if (sent.stableContents.get(machineId) === stableContent && spotNoticeMs === null) {
       draft.unchanged.numbers.push(number);
-      draft.unchanged.heartbeatAgesMs.push(Math.round(heartbeatAgeMs));
+      draft.unchanged.heartbeatAgesMs.push(Math.min(Math.round(heartbeatAgeMs), MAX_HEARTBEAT_AGE_MS));
       draft.unchanged.sequences.push(update.sequence);
       return;
     }
--- a/src/inventory/machine-inventory.ts
+++ b/src/inventory/machine-inventory.ts
@@ -1,6 +1,7 @@
 /** All known machines, from their workers' heartbeats and from the peers' gossip. */
 import { GOSSIP_STALE_MS } from '../constants/gossip.js';
 import { INVENTORY_VIEW_REUSE_MS } from '../constants/inventory.js';
+import type { Count } from '../domain/count.js';
 import type { MachineInfo, MachineRefresh } from '../domain/machine-state.js';
 import type { MachineType } from '../domain/machine-type.js';
 import type { Settings } from '../domain/settings.js';
@@ -94,7 +95,7 @@
     return this.own.list();
   }
 
-  agentEpochOf(machineId: string): number | undefined {
+  agentEpochOf(machineId: string): Count | undefined {
     return (this.workerManager.workers.get(machineId) ?? this.peerReportOf(machineId))?.agentEpoch;
   }
 
--- a/src/jobs/job-change-handler.ts
+++ b/src/jobs/job-change-handler.ts
@@ -1,5 +1,6 @@
 /** Reacts to changes of a job's records: sends launches and stops, triggers plans, ends the job, advances its dependents. */
 import { LAUNCH_BATCHING_SHARE } from '../constants/workers.js';
+import type { Count } from '../domain/count.js';
 import { isPlacedByLeader } from '../domain/job.js';
 import { CLUSTER_LEADER_ROLE, partitionRole } from '../domain/role.js';
 import { taskIdOf } from '../domain/task.js';
@@ -11,7 +12,7 @@
 
 /** The workers of this node's partitions, and how to send them commands. */
 export interface WorkerCommandPusher {
-  readonly workers: { get(machineId: string): { tasks: ReadonlyMap<string, { attempt: number }> } | undefined };
+  readonly workers: { get(machineId: string): { tasks: ReadonlyMap<string, { attempt: Count }> } | undefined };
   /** Sends the machine's worker the commands that have changed, after `batchingMs` at most. */
   pushCommands(machineId: string, batchingMs?: number): void;
 }
--- a/src/leadership/held-roles.ts
+++ b/src/leadership/held-roles.ts
@@ -1,4 +1,5 @@
 /** The store lease of this process, and the roles that it leads under that lease according to its local state. */
+import type { Count } from '../domain/count.js';
 import type { ClusterState } from '../records/cluster-state.js';
 import type { HeldLeadership, LeadershipTerm } from './leadership-term.js';
 import type { SuccessionPolicy } from './succession-policy.js';
@@ -12,7 +13,7 @@
 
 /** A role is led here only while the stored record holds both the lease and the fencing token that this process knows. */
 export class HeldRoles {
-  private leaseId: number | undefined;
+  private leaseId: Count | undefined;
   private readonly leaderships = new Map<string, HeldLeadership>();
   private readonly releasing = new Set<string>();
   /** Roles whose fencing token is being advanced. */
@@ -20,12 +21,12 @@
 
   constructor(private readonly dependencies: HeldRolesDependencies) {}
 
-  get storeLeaseId(): number | undefined {
+  get storeLeaseId(): Count | undefined {
     return this.leaseId;
   }
 
   /** Roles acquired from now on are held under this lease. */
-  startLease(leaseId: number): void {
+  startLease(leaseId: Count): void {
     this.leaseId = leaseId;
   }
 
--- a/src/leadership/leadership-history.ts
+++ b/src/leadership/leadership-history.ts
@@ -1,6 +1,7 @@
 /** Tracks changes of the leadership records: former leaders, roles that became vacant, and roles that this node lost. */
 import type { PauseGuard, TakeoverTimeline, TakeoverTracer } from '@dewlatch/standby';
 
+import type { Count } from '../domain/count.js';
 import { CLUSTER_LEADER_ROLE, partitionRole } from '../domain/role.js';
 import type { Clock } from '../net/clock.js';
 import type { ClusterState } from '../records/cluster-state.js';
@@ -20,7 +21,7 @@
 /** The last node that led a role, with its fencing token. */
 export interface FormerLeader {
   readonly node: string;
-  readonly fencingToken: number;
+  readonly fencingToken: Count;
 }
 
 /** The history since this process loaded the records; not persisted. */
@@ -29,7 +30,7 @@
   /** The last leader of each role other than this node. */
   private readonly formerLeaders = new Map<string, FormerLeader>();
   /** Fencing tokens of the roles that this node led as of the last change, by role. */
-  private readonly ownTokens = new Map<string, number>();
+  private readonly ownTokens = new Map<string, Count>();
   /** Roles that were vacant as of the last change. */
   private readonly vacantRoles = new Set<string>();
 
--- a/src/leadership/role-leadership.ts
+++ b/src/leadership/role-leadership.ts
@@ -1,5 +1,6 @@
 /** Which roles this node leads, and what that currently permits: answers to workers, decisions, transactions. */
 import { LEASE_RENEWAL_PERIOD_MS, REPLICA_FRESH_MS } from '../constants/leadership.js';
+import type { Count } from '../domain/count.js';
 import { CLUSTER_LEADER_ROLE, hashName, partitionRole } from '../domain/role.js';
 import type { Settings } from '../domain/settings.js';
 import type { Log } from '../logging/log.js';
@@ -101,7 +102,7 @@
   }
 
   /** The store lease under which this process leads its roles, according to its local state. */
-  get storeLeaseId(): number | undefined {
+  get storeLeaseId(): Count | undefined {
     return this.heldRoles.storeLeaseId;
   }
 
@@ -147,9 +148,9 @@
   }
 
   /** The fencing token of each role that this node leads. */
-  heldFencingTokens(): Record<string, number> {
+  heldFencingTokens(): Record<string, Count> {
     const held = this.preferences.roles().map((role) => [role, this.leadershipOf(role)?.fencingToken] as const);
-    return Object.fromEntries(held.filter((each): each is [string, number] => each[1] !== undefined));
+    return Object.fromEntries(held.filter((each): each is [string, Count] => each[1] !== undefined));
   }
 
   ledPartitions(): number[] {
--- a/src/leadership/role-transactions.ts
+++ b/src/leadership/role-transactions.ts
@@ -1,5 +1,6 @@
 /** Transactions that acquire a role, advance its fencing token, and release it. */
 import { STORE_LEASE_TTL_MS } from '../constants/leadership.js';
+import type { Count } from '../domain/count.js';
 import type { Log } from '../logging/log.js';
 import type { Clock } from '../net/clock.js';
 import { Priority } from '../net/token-bucket.js';
@@ -65,7 +66,7 @@
    * `isRecordOwn`: the record must be under this process's lease; if false, there must be no record, or one of a former incarnation.
    * `onWritten` runs synchronously after the end of the acquisition, so that the role is always seen as either held or in flight.
    */
-  private async writeRecord(role: string, isRecordOwn: boolean, onWritten: (revision: number) => void): Promise<void> {
+  private async writeRecord(role: string, isRecordOwn: boolean, onWritten: (revision: Count) => void): Promise<void> {
     const { node, heldRoles, transactions } = this.dependencies;
     const leaseId = heldRoles.storeLeaseId;
     if (leaseId === undefined || this.acquiring.has(role)) return;
--- a/src/net/http-client.ts
+++ b/src/net/http-client.ts
@@ -2,6 +2,7 @@
 import { Agent, type ClientRequest, type IncomingMessage, request } from 'node:http';
 
 import { parseAddress } from './address.js';
+import { parseJson, stringifyJson } from './json.js';
 
 /** A response of any status. */
 export interface HttpResponse {
@@ -107,7 +108,7 @@
 
   // eslint-disable-next-line max-params -- every client and test double implements this signature, and each call needs all five
   call(address: string, method: string, path: string, body: unknown, options: CallOptions): Promise<HttpResponse> {
-    const payload = body === undefined ? undefined : JSON.stringify(body);
+    const payload = body === undefined ? undefined : stringifyJson(body);
     const headers = payload === undefined ? {} : jsonHeaders(payload);
     return new Promise<HttpResponse>((resolve, reject) => {
       const clientRequest = request({ agent: this.agentFor(address), ...parseAddress(address), method, path, headers });
@@ -191,7 +192,7 @@
     const { description, resolve, reject } = this.dependencies;
     this.release();
     try {
-      resolve({ status, body: text === '' ? undefined : JSON.parse(text) });
+      resolve({ status, body: text === '' ? undefined : parseJson(text) });
     } catch (error) {
       reject(new NoResponseError(`${description}: response is not JSON`, true, { cause: error }));
     }
--- a/src/records/cluster-state.ts
+++ b/src/records/cluster-state.ts
@@ -1,4 +1,5 @@
 /** The replica's records, decoded and indexed: jobs, placements by machine and by team, leadership, rentals. */
+import type { Count } from '../domain/count.js';
 import type { JobSpec } from '../domain/job.js';
 import type { Resources } from '../domain/resources.js';
 import type { TaskPlacement } from '../domain/task.js';
@@ -37,7 +38,7 @@
   /** The dependency graph of the waiting jobs. */
   readonly dependencies = new JobDependencies((jobId, urgency) => this.applyUrgency(jobId, urgency));
   /** The leader of each role, by role. */
-  readonly leadershipRecords = new Map<string, { record: LeadershipRecord; modRevision: number }>();
+  readonly leadershipRecords = new Map<string, { record: LeadershipRecord; modRevision: Count }>();
   /** Rentals that have not ended, by rental id. */
   readonly rentals = new Map<string, RentalRecord>();
   private readonly machines = new MachinePlacements();
@@ -84,7 +85,7 @@
    * Usage of a team's placed tasks; undefined unless the replica holds all changes up to `revision` and can decode all of them.
    * The usage may include tasks that have exited since, but omits none.
    */
-  placedUsageOf(team: string, revision: number): Readonly<TeamUsage> | undefined {
+  placedUsageOf(team: string, revision: Count): Readonly<TeamUsage> | undefined {
     const isComplete =
       this.replica.revision >= revision && this.unreadableKeys.size === 0 && !this.orphanChunks.mayHoldActivePlacements;
     return isComplete ? this.teams.usageOf(team) : undefined;
--- a/src/records/format-upgrade.ts
+++ b/src/records/format-upgrade.ts
@@ -4,6 +4,7 @@
  * controllers, it writes a permanent record of that. Before then, nothing is written that an earlier version would misread;
  * afterwards, no earlier version is started again.
  */
+import type { Count } from '../domain/count.js';
 import type { Log } from '../logging/log.js';
 import { Priority } from '../net/token-bucket.js';
 import type { Replica } from '../store/replica.js';
@@ -21,7 +22,7 @@
   /** Configured number of controllers. */
   clusterSize: number;
   /** The store lease that this process's records are attached to, and whether the process may act on its replica. */
-  leadership: { readonly storeLeaseId: number | undefined; readonly hasRecentStoreContact: boolean };
+  leadership: { readonly storeLeaseId: Count | undefined; readonly hasRecentStoreContact: boolean };
   replica: Replica;
   transactions: TransactionBatcher;
   log: Log;
--- a/src/records/placement-codec.ts
+++ b/src/records/placement-codec.ts
@@ -3,7 +3,9 @@
  * never placed, 1 for a done task, `[attempt, failures]` for a task that is queued for another attempt, and
  * `[attempt, failures, machine, agent epoch, grace period in s or -1, zone]` for a placed task.
  */
+import { isCount } from '../domain/count.js';
 import type { ActivePlacement, TaskPlacement } from '../domain/task.js';
+import { stringifyJson } from '../net/json.js';
 import { cacheJsonLength, jsonLength } from '../store/json-size.js';
 import { CorruptRecordError, isNonNegativeInteger } from './records.js';
 
@@ -50,7 +52,7 @@
   if (raw === RAW_NEVER_PLACED) return NEVER_PLACED;
   if (raw === RAW_DONE) return DONE;
   const placement = isRawAttempt(raw) ? decodeAttempt(raw, zones, previous) : undefined;
-  if (placement === undefined) throw new CorruptRecordError(`task placement ${JSON.stringify(raw)}`);
+  if (placement === undefined) throw new CorruptRecordError(`task placement ${stringifyJson(raw)}`);
   return placement;
 }
 
@@ -63,7 +65,7 @@
   const zone = typeof rawZone === 'number' ? zones[rawZone] : rawZone;
   if (isUnchanged(previous, raw, zone)) return previous;
   if ((raw as unknown[]).length === RAW_QUEUED_LENGTH) return { kind: 'queued', attempt, failures };
-  if (typeof machineId !== 'string' || !isNonNegativeInteger(agentEpoch)) return undefined;
+  if (typeof machineId !== 'string' || !isCount(agentEpoch)) return undefined;
   if (typeof grace !== 'number' || typeof zone !== 'string') return undefined;
   return { kind: 'placed', attempt, failures, machineId, agentEpoch, gracePeriodS: grace < 0 ? null : grace, zone };
 }
--- a/src/records/placement-rules.ts
+++ b/src/records/placement-rules.ts
@@ -1,4 +1,5 @@
 /** Rules for starts and releases: which task may start on which machine, and what proves that a task has left its machine. */
+import type { Count } from '../domain/count.js';
 import type { JobSpec } from '../domain/job.js';
 import type { Machine } from '../domain/machine.js';
 import type { ActivePlacement, TaskPlacement } from '../domain/task.js';
@@ -108,13 +109,13 @@
 /** Proof that a task has left its machine; nothing else releases its placement. */
 export type ReleaseProof =
   /** The agent has reported the exit of this attempt. */
-  | { kind: 'exited'; attempt: number; agentEpoch: number }
+  | { kind: 'exited'; attempt: number; agentEpoch: Count }
   /** The agent has begun a newer epoch, which ended all tasks of earlier epochs. */
-  | { kind: 'newer_agent_epoch'; agentEpoch: number }
+  | { kind: 'newer_agent_epoch'; agentEpoch: Count }
   /** The cloud has confirmed that the machine is terminated. */
   | { kind: 'machine_terminated' }
   /** The lease of this agent epoch has expired; tasks placed in a later epoch are not affected. */
-  | { kind: 'lease_expired'; agentEpoch: number };
+  | { kind: 'lease_expired'; agentEpoch: Count };
 
 /** Whether the proof applies to this placement. */
 export function provesRelease(proof: ReleaseProof, placement: ActivePlacement): boolean {
--- a/src/records/record-codecs.ts
+++ b/src/records/record-codecs.ts
@@ -1,4 +1,5 @@
 /** Codecs of the records in the store, except task placements, which have a codec of their own. */
+import type { Count } from '../domain/count.js';
 import { JOB_PRIORITIES } from '../domain/job.js';
 import type { TeamUsage } from '../domain/team.js';
 import { decodeJobSpec, encodeJobSpec, type WireJobSpec } from './job-spec-codec.js';
@@ -122,7 +123,7 @@
 
 interface StoredLeadership {
   node: string;
-  latch: number;
+  latch: Count;
 }
 
 /** Undefined: no node leads the role. */
@@ -194,7 +195,7 @@
 
 interface StoredFormat {
   format: number;
-  latch: number;
+  latch: Count;
 }
 
 /** Undefined: no process of the node has announced its record format. */
@@ -212,7 +213,7 @@
 
 interface StoredStandby {
   life: number;
-  latch: number;
+  latch: Count;
 }
 
 /** Undefined: no process of the node has announced that it reads the standby's stream. */
--- a/src/records/records.ts
+++ b/src/records/records.ts
@@ -1,4 +1,5 @@
 /** Types of the records in the store; the codecs in this folder translate between them and the stored form. */
+import type { Count } from '../domain/count.js';
 import type { JobSpec } from '../domain/job.js';
 
 /** Version of the record format that this program reads; version 2 added compact chunks of task placements. */
@@ -31,21 +32,21 @@
 /** Announces the record format that a controller process reads, and the store lease that the announcement is attached to. */
 export interface FormatRecord {
   format: number;
-  leaseId: number;
+  leaseId: Count;
 }
 
 /** Announces a controller process that reads the warm standby's stream. */
 export interface StandbyRecord {
   /** The incarnation number of the process in gossip. */
   incarnation: number;
-  leaseId: number;
+  leaseId: Count;
 }
 
 /** The node that leads a role. */
 export interface LeadershipRecord {
   node: string;
   /** The store lease that the record is attached to; distinguishes two incarnations of one node. */
-  leaseId: number;
+  leaseId: Count;
 }
 
 /** A request to rent machines; stored before it is sent, so that no leader requests machines twice for the same need. */
--- a/src/records/team-accounting.ts
+++ b/src/records/team-accounting.ts
@@ -6,6 +6,7 @@
  * to hold every start that the record counts.
  */
 import { DEFERRED_EXIT_SHARE } from '../constants/records.js';
+import type { Count } from '../domain/count.js';
 import type { JobSpec } from '../domain/job.js';
 import type { Team, TeamUsage } from '../domain/team.js';
 import type { StoredValue } from '../store/replica.js';
@@ -19,7 +20,7 @@
 export interface TeamAccountingDependencies {
   teams: readonly Team[];
   /** Usage of a team's placed tasks; undefined unless the replica holds all changes up to the revision. */
-  placedUsageOf: (team: string, revision: number) => TeamUsage | undefined;
+  placedUsageOf: (team: string, revision: Count) => TeamUsage | undefined;
   /** The replica's copy of a record. */
   recordOf: (key: string) => StoredValue;
   /** Whether all controllers expect that a record may overstate its team's usage. */
@@ -99,7 +100,7 @@
    * The lower of the recorded usage and that of the placements. Every start changes the record, so a replica that holds the
    * record's revision holds all starts; tasks whose exits it has not seen yet still count as usage.
    */
-  private usageUpperBound(team: string, recorded: TeamUsage, modRevision: number): TeamUsage {
+  private usageUpperBound(team: string, recorded: TeamUsage, modRevision: Count): TeamUsage {
     const placed = this.dependencies.placedUsageOf(team, modRevision);
     if (placed === undefined) return recorded;
     return { cpus: Math.min(recorded.cpus, placed.cpus), gpus: Math.min(recorded.gpus, placed.gpus) };
--- a/src/scheduling/team-settlement.ts
+++ b/src/scheduling/team-settlement.ts
@@ -3,6 +3,7 @@
  * if no start follows. The cluster leader does this only for teams whose record has not changed lately, so that it does not
  * conflict with the starts of busy teams.
  */
+import type { Count } from '../domain/count.js';
 import type { RoleLeadership } from '../leadership/role-leadership.js';
 import { Priority } from '../net/token-bucket.js';
 import { teamKey } from '../records/record-keys.js';
@@ -22,7 +23,7 @@
 /** Corrects overstated usage records of idle teams, as cluster leader. */
 export class TeamSettlement {
   /** The modRevision of each team's record at the previous check, by team. */
-  private readonly lastModRevisions = new Map<string, number>();
+  private readonly lastModRevisions = new Map<string, Count>();
 
   constructor(private readonly dependencies: TeamSettlementDependencies) {}
 
--- a/src/store/json-size.ts
+++ b/src/store/json-size.ts
@@ -2,9 +2,10 @@
  * Lengths of values as JSON, in bytes, cached so that a record is measured once and not at every attempt to write it. Measured
  * values must never be modified afterwards.
  */
+import { stringifyJson } from '../net/json.js';
 const knownLengths = new WeakMap<object, number>();
 
-const measureJsonLength = (value: unknown): number => Buffer.byteLength(JSON.stringify(value) ?? '');
+const measureJsonLength = (value: unknown): number => Buffer.byteLength(stringifyJson(value) ?? '');
 
 /** The length of the value as JSON, in bytes. */
 export function jsonLength(value: unknown): number {
--- a/src/store/pending-mutation.ts
+++ b/src/store/pending-mutation.ts
@@ -1,4 +1,5 @@
 /** Mutations that wait for a transaction, and the outcomes that their callers receive. */
+import type { Count } from '../domain/count.js';
 import type { Priority } from '../net/token-bucket.js';
 import type { TransactionDraft } from './transaction-draft.js';
 
@@ -10,7 +11,7 @@
 
 /** How a mutation ended. */
 export type CommitOutcome =
-  | { kind: 'done'; revision: number }
+  | { kind: 'done'; revision: Count }
   /** The mutation had nothing to change, is too large for a transaction, or writes under a store lease that has expired. */
   | { kind: 'void' }
   /** Given up at the deadline, or refused on behalf of a user; it may or may not have been committed. */
--- a/src/store/replica.ts
+++ b/src/store/replica.ts
@@ -1,6 +1,8 @@
 /** A local copy of the store's live records, kept up to date by a watch and by changes that peers broadcast. */
 import { LOAD_RETRY_MS, PAGE_ROWS, WATCH_PAUSE_MS, WATCH_RETRY_MS, WATCH_WAIT_MS } from '../constants/store.js';
+import { compareCounts, type Count, maxCount } from '../domain/count.js';
 import type { Clock } from '../net/clock.js';
+import { parseJson, stringifyJson } from '../net/json.js';
 import { Priority } from '../net/token-bucket.js';
 import type { StoreClient } from './store-client.js';
 import type { Change, Page } from './store-wire-codec.js';
@@ -10,20 +12,20 @@
 export interface StoredValue {
   /** undefined: the key does not exist; kept as a tombstone while older changes may still arrive. */
   value: unknown;
-  modRevision: number;
+  modRevision: Count;
 }
 
 /** A change in the form sent to peers: the value as JSON, or null if the key was deleted. */
 export interface SerializedChange {
   key: string;
   value: string | null;
-  modRevision: number;
+  modRevision: Count;
 }
 
 /** Converts a change to the form sent to peers. */
 export const serializeChange = ({ key, value, modRevision }: Change): SerializedChange => ({
   key,
-  value: value === undefined ? null : JSON.stringify(value),
+  value: value === undefined ? null : stringifyJson(value),
   modRevision,
 });
 
@@ -31,7 +33,7 @@
 export const deserializeChanges = (serialized: readonly SerializedChange[]): Change[] =>
   serialized.map(({ key, value, modRevision }) => ({
     key,
-    value: value === null ? undefined : (JSON.parse(value) as unknown),
+    value: value === null ? undefined : parseJson(value),
     modRevision,
   }));
 
@@ -40,7 +42,7 @@
 
 /** One complete read of the records from the store. */
 export interface ReplicaLoad {
-  revision: number;
+  revision: Count;
   rowCount: number;
   tookMs: number;
 }
@@ -52,7 +54,7 @@
 export interface ChangesSince {
   changes: SerializedChange[];
   /** The revision to continue after. */
-  last: number;
+  last: Count;
   /** Whether these are all changes. */
   isComplete: boolean;
 }
@@ -69,7 +71,7 @@
   private refreshInProgress: Promise<boolean> | undefined;
   private loadInProgress: Promise<void> | undefined;
   /** The replica is complete up to this revision, and may hold some later changes. */
-  revision = 0;
+  revision: Count = 0;
   /** The number of changes applied; a different number means that the contents may have changed. */
   version = 0;
   isLoaded = false;
@@ -117,7 +119,7 @@
   }
 
   /** Marks the replica as complete up to the revision: all changes up to it were received from the store or from a peer. */
-  markCompleteTo(revision: number): void {
+  markCompleteTo(revision: Count): void {
     if (revision <= this.revision) return;
     this.revision = revision;
     this.compactTombstones();
@@ -131,13 +133,13 @@
   }
 
   /** The changes that the replica holds after the revision `after`, oldest first, up to about `maxBytes`. */
-  changesSince(after: number, maxBytes: number): ChangesSince {
+  changesSince(after: Count, maxBytes: number): ChangesSince {
     const rows = [...this.rows]
       .filter(([, { modRevision }]) => modRevision > after)
-      .sort(([, a], [, b]) => a.modRevision - b.modRevision);
+      .sort(([, a], [, b]) => compareCounts(a.modRevision, b.modRevision));
     const changes: SerializedChange[] = [];
     let bytes = 0;
-    let last = after;
+    let last: Count = after;
     for (const [key, { value, modRevision }] of rows) {
       const change = serializeChange({ key, value, modRevision });
       bytes += key.length + (change.value?.length ?? 0) + CHANGE_ENVELOPE_BYTES;
@@ -153,9 +155,9 @@
    * For another replica that was complete up to `from` and has since applied all later changes held here: the revision up to
    * which that replica is now complete.
    */
-  completeRevisionAfter(from: number): number {
+  completeRevisionAfter(from: Count): Count {
     // Deletions after `from` may have been compacted here, so the other replica may lack them.
-    return from < this.tombstones.compactedRevision ? from : Math.max(from, this.revision);
+    return from < this.tombstones.compactedRevision ? from : maxCount(from, this.revision);
   }
 
   /** Applies changes from a peer's replica. */
@@ -177,7 +179,7 @@
   private async readAll(): Promise<void> {
     const sentAtMs = this.clock.now();
     const seenKeys = new Set<string>();
-    let firstRevision: number | undefined;
+    let firstRevision: Count | undefined;
     let page: Page | undefined;
     while (page === undefined || (page.hasMore && page.rows.length > 0)) {
       page = await this.client.list(this.prefix, page?.rows.at(-1)?.key, PAGE_ROWS, Priority.lease);
@@ -191,13 +193,13 @@
     this.completeLoad(seenKeys, firstRevision ?? 0, sentAtMs);
   }
 
-  private completeLoad(seenKeys: ReadonlySet<string>, revision: number, sentAtMs: number): void {
+  private completeLoad(seenKeys: ReadonlySet<string>, revision: Count, sentAtMs: number): void {
     for (const [key, row] of this.rows) {
       if (!seenKeys.has(key) && row.value !== undefined && row.modRevision <= revision) {
         this.apply({ key, value: undefined, modRevision: revision });
       }
     }
-    this.revision = Math.max(this.revision, revision);
+    this.revision = maxCount(this.revision, revision);
     // Deletions up to this revision were not observed.
     this.tombstones.markUnobservedTo(revision);
     this.isLoaded = true;
--- a/src/store/store-client.ts
+++ b/src/store/store-client.ts
@@ -1,5 +1,6 @@
 /** The client of the store, which enforces the store's limits on requests and writes per second, by priority. */
 import { NODE_RATE_SHARE, RETRY_JITTER_SHARE, STORE_TIMEOUT_MS } from '../constants/store.js';
+import type { Count } from '../domain/count.js';
 import type { StoreSettings } from '../domain/settings.js';
 import { EventCounts } from '../logging/event-counts.js';
 import type { Clock } from '../net/clock.js';
@@ -72,9 +73,9 @@
 /** The stored value of one key. */
 export interface StoreRow {
   value: unknown;
-  modRevision: number;
+  modRevision: Count;
   /** The store's revision; set only if the key does not exist. */
-  revision?: number;
+  revision?: Count;
 }
 
 /** Dependencies of `StoreClient`, and the address and rate limits of the store. */
@@ -198,7 +199,7 @@
    */
   async watch(
     prefix: string,
-    fromRevision: number,
+    fromRevision: Count,
     waitMs: number,
     priority: Priority,
   ): Promise<WatchedChanges | undefined> {
@@ -233,14 +234,14 @@
   }
 
   /** Creates a store lease and returns its id. Throws a `StoreError`. */
-  async createLease(ttlMs: number): Promise<number> {
+  async createLease(ttlMs: number): Promise<Count> {
     const reply = await this.leaseCall(LEASES_PATH, encodeLeaseRequest(ttlMs));
     if (reply.status !== 200) throw unexpectedStatusError(`create lease`, reply);
     return decodeLeaseId(reply.body);
   }
 
   /** Returns false if the lease has expired. Throws a `StoreError`. */
-  async renewLease(leaseId: number): Promise<boolean> {
+  async renewLease(leaseId: Count): Promise<boolean> {
     const reply = await this.leaseCall(leaseRenewalPath(leaseId), {});
     if (reply.status === 404) return false;
     if (reply.status !== 200) throw unexpectedStatusError(`renew lease ${leaseId}`, reply);
--- a/src/store/store-wire-codec.ts
+++ b/src/store/store-wire-codec.ts
@@ -1,10 +1,11 @@
 /** The store's wire format: paths, requests and responses, and their conversion to the program's own types. */
+import type { Count } from '../domain/count.js';
 
 /** A key with its value and the revision of its last change. */
 export interface Row {
   key: string;
   value: unknown;
-  modRevision: number;
+  modRevision: Count;
 }
 
 /** A change of a key at a revision. */
@@ -12,13 +13,13 @@
   key: string;
   /** undefined: the key was deleted. */
   value: unknown;
-  modRevision: number;
+  modRevision: Count;
 }
 
 /** Requires that the key was last changed at this revision; 0: that the key does not exist. */
 export interface Condition {
   key: string;
-  modRevision: number;
+  modRevision: Count;
 }
 
 /** A put or delete in a transaction. */
@@ -27,13 +28,13 @@
   /** undefined deletes the key. */
   value: unknown;
   /** The store lease that the key is attached to. */
-  leaseId?: number;
+  leaseId?: Count;
 }
 
 interface WireRow {
   K: string;
   V: unknown;
-  Stamp: number;
+  Stamp: Count;
 }
 
 const decodeRow = ({ K, V, Stamp }: WireRow): Row => ({ key: K, value: V, modRevision: Stamp });
@@ -42,13 +43,13 @@
 export const keyPath = (key: string): string => `/store/${key}`;
 
 /** Decodes the response for an existing key. */
-export const decodeKey = (body: unknown): { value: unknown; modRevision: number } => {
+export const decodeKey = (body: unknown): { value: unknown; modRevision: Count } => {
   const { V, Stamp } = body as WireRow;
   return { value: V, modRevision: Stamp };
 };
 
 /** Decodes the store's revision from the response for a missing key. */
-export const decodeMissingKey = (body: unknown): number => (body as { Epoch: number }).Epoch;
+export const decodeMissingKey = (body: unknown): Count => (body as { Epoch: Count }).Epoch;
 
 /** The path of the page of keys that follows the key `after`; undefined: the first page. */
 export function listPath(prefix: string, after: string | undefined, limit: number): string {
@@ -61,22 +62,22 @@
   rows: Row[];
   hasMore: boolean;
   /** The store's revision when the page was read. */
-  revision: number;
+  revision: Count;
 }
 
 /** Decodes a page of keys. */
 export function decodePage(body: unknown): Page {
-  const { Rows, HasNext, Epoch } = body as { Rows: WireRow[]; HasNext: boolean; Epoch: number };
+  const { Rows, HasNext, Epoch } = body as { Rows: WireRow[]; HasNext: boolean; Epoch: Count };
   return { rows: Rows.map(decodeRow), hasMore: HasNext, revision: Epoch };
 }
 
 /** The path of a watch that waits for changes after a revision. */
-export const watchPath = (prefix: string, fromRevision: number, waitMs: number): string =>
+export const watchPath = (prefix: string, fromRevision: Count, waitMs: number): string =>
   `/watch?Starts=${encodeURIComponent(prefix)}&From=${fromRevision}&WaitMs=${waitMs}`;
 
 /** All changes from the revision at which a watch began up to `revision`. */
 export interface WatchedChanges {
-  revision: number;
+  revision: Count;
   changes: Change[];
 }
 
@@ -84,7 +85,7 @@
   Set?: string;
   Drop?: string;
   V?: unknown;
-  Stamp: number;
+  Stamp: Count;
 }
 
 const decodeChange = ({ Set: put, Drop: deleted, V: value, Stamp: modRevision }: WireChange): Change =>
@@ -92,7 +93,7 @@
 
 /** Decodes the response to a watch; an idle watch ends without changes. */
 export function decodeWatch(body: unknown): WatchedChanges {
-  const { Epoch, News } = body as { Epoch: number; News?: WireChange[] };
+  const { Epoch, News } = body as { Epoch: Count; News?: WireChange[] };
   return { revision: Epoch, changes: (News ?? []).map(decodeChange) };
 }
 
@@ -110,9 +111,9 @@
 /** The result of a transaction. */
 export type TransactionResult =
   /** Committed at this revision. */
-  | { kind: 'done'; revision: number }
+  | { kind: 'done'; revision: Count }
   /** Nothing was changed; `failed` lists the keys whose conditions do not hold. */
-  | { kind: 'conflict'; failed: string[]; revision: number }
+  | { kind: 'conflict'; failed: string[]; revision: Count }
   /** The store lease of a write has expired. */
   | { kind: 'lease_expired' }
   /** The store rejects the form or size of the transaction. */
@@ -127,7 +128,7 @@
 
 /** A status that the protocol does not define means that the outcome is unknown. */
 export function decodeTransactionResult(status: number, body: unknown): TransactionResult {
-  const response = body as { Epoch: number; failed: string[]; error?: string };
+  const response = body as { Epoch: Count; failed: string[]; error?: string };
   switch (status) {
     case 200:
       return { kind: 'done', revision: response.Epoch };
@@ -147,6 +148,6 @@
 
 /** Paths, requests and responses for creating and renewing store leases. */
 export const LEASES_PATH = '/holds';
-export const leaseRenewalPath = (leaseId: number): string => `/holds/${leaseId}/renew`;
+export const leaseRenewalPath = (leaseId: Count): string => `/holds/${leaseId}/renew`;
 export const encodeLeaseRequest = (ttlMs: number): unknown => ({ TtlMs: ttlMs });
-export const decodeLeaseId = (body: unknown): number => (body as { Latch: number }).Latch;
+export const decodeLeaseId = (body: unknown): Count => (body as { Latch: Count }).Latch;
--- a/src/store/transaction-draft.ts
+++ b/src/store/transaction-draft.ts
@@ -5,6 +5,7 @@
   MAX_TRANSACTION_BYTES,
   MIN_BATCH_TRANSACTION_WRITES,
 } from '../constants/store.js';
+import type { Count } from '../domain/count.js';
 import type { StoreSettings } from '../domain/settings.js';
 import { jsonLength } from './json-size.js';
 import type { StoredValue } from './replica.js';
@@ -63,11 +64,11 @@
  */
 export class TransactionDraft {
   /** The revisions that the records must still have when the transaction is applied, by key. */
-  readonly conditions = new Map<string, number>();
+  readonly conditions = new Map<string, Count>();
   /** The new values, by key; undefined deletes the key. */
   readonly writes = new Map<string, unknown>();
   /** The ids of the store leases that written keys are attached to, by key. */
-  readonly leases = new Map<string, number>();
+  readonly leases = new Map<string, Count>();
   /** Bytes of each write that `fits` has measured, by key. */
   private readonly writeSizes = new Map<string, number>();
   private bytes = 0;
@@ -110,7 +111,7 @@
   }
 
   /** Writes a record that is deleted when the store lease expires. */
-  setUnderLease(key: string, value: unknown, leaseId: number): void {
+  setUnderLease(key: string, value: unknown, leaseId: Count): void {
     this.set(key, value);
     this.leases.set(key, leaseId);
   }
--- a/src/workers/attempt-key.ts
+++ b/src/workers/attempt-key.ts
@@ -1,14 +1,15 @@
+import type { Count } from '../domain/count.js';
 import { taskIdOf } from '../domain/task.js';
 import type { PlacedTask } from '../records/cluster-state.js';
 
 /** One attempt of a task, as commands and statuses identify it. */
 export interface TaskAttempt {
   readonly taskId: string;
-  readonly attempt: number;
+  readonly attempt: Count;
 }
 
 /** The key of one attempt of a task, as commands and statuses identify it: `<task id>#<attempt>`. */
-export const attemptKeyFrom = (taskId: string, attempt: number): string => `${taskId}#${attempt}`;
+export const attemptKeyFrom = (taskId: string, attempt: Count): string => `${taskId}#${attempt}`;
 
 /** The key of an attempt that is recorded on a machine. */
 export const attemptKeyOf = (placedTask: PlacedTask): string =>
--- a/src/workers/cancellation-enforcer.ts
+++ b/src/workers/cancellation-enforcer.ts
@@ -1,4 +1,5 @@
 import { MAX_CONCURRENT_TOKEN_ANNOUNCEMENTS, TOKEN_REANNOUNCE_DELAY_MS } from '../constants/workers.js';
+import type { Count } from '../domain/count.js';
 import { type ActivePlacement, taskIdOf } from '../domain/task.js';
 import type { RoleLeadership } from '../leadership/role-leadership.js';
 import type { Log } from '../logging/log.js';
@@ -27,8 +28,8 @@
 /** Kill commands for one machine. */
 interface KillBatch {
   /** The fencing token of the machine's leader. */
-  fencingToken: number;
-  agentEpoch: number;
+  fencingToken: Count;
+  agentEpoch: Count;
   commands: WorkerCommand[];
 }
 
@@ -91,7 +92,7 @@
   }
 
   /** The fencing token of the machine's leader; undefined if the leader needs no help, or if there is none. */
-  private leaderTokenForKill(machineId: string): number | undefined {
+  private leaderTokenForKill(machineId: string): Count | undefined {
     const { leadership, clusterState, peerDirectory } = this.dependencies;
     const role = machineRole(leadership, machineId);
     const leader = clusterState.leadershipRecords.get(role);
@@ -109,7 +110,7 @@
 function batchFor(
   batches: Map<string, KillBatch>,
   { machineId, agentEpoch }: ActivePlacement,
-  fencingToken: number,
+  fencingToken: Count,
 ): KillBatch | undefined {
   const existing = batches.get(machineId);
   if (existing !== undefined && existing.agentEpoch >= agentEpoch)
--- a/src/workers/cancelled-launch-guard.ts
+++ b/src/workers/cancelled-launch-guard.ts
@@ -1,4 +1,5 @@
 import { REPLICA_FRESH_MS } from '../constants/leadership.js';
+import { maxCount } from '../domain/count.js';
 import type { WorkerTimings } from '../domain/settings.js';
 import { leaseExpiresAt } from '../domain/worker-deadlines.js';
 import { degradedServingMs, type HeldLeadership, type RoleLeadership } from '../leadership/role-leadership.js';
@@ -53,7 +54,7 @@
   if (workerStatus.agentEpoch !== worker.agentEpoch) return false;
   // A command response may have overtaken the heartbeat.
   const { tasks } = isNewerThan(worker, workerStatus) ? worker : workerStatus;
-  const lowestAcceptedToken = Math.max(workerStatus.fencingToken, held.fencingToken);
+  const lowestAcceptedToken = maxCount(workerStatus.fencingToken, held.fencingToken);
   for (const [taskId, { placedTask, isCancelled }] of desired) {
     if (!isCancelled || tasks.get(taskId)?.attempt === placedTask.placement.attempt) continue;
     if (worker.launches.mayBeRequestedSince(lowestAcceptedToken, attemptOf(placedTask))) return true;
--- a/src/workers/command-log.ts
+++ b/src/workers/command-log.ts
@@ -1,3 +1,4 @@
+import type { Count } from '../domain/count.js';
 import { EventCounts } from '../logging/event-counts.js';
 import type { Log } from '../logging/log.js';
 import type { WorkerCommand } from './worker-wire-codec.js';
@@ -9,10 +10,10 @@
 export interface CommandTarget {
   machineId: string;
   channel: CommandChannel;
-  fencingToken: number;
-  agentEpoch: number;
+  fencingToken: Count;
+  agentEpoch: Count;
   /** Sequence number of the worker's newest status, on which the commands are based. */
-  sequence: number;
+  sequence: Count;
 }
 
 /** Logs and counts the commands that this node sends to workers, with what each of them is based on. */
--- a/src/workers/command-sender.ts
+++ b/src/workers/command-sender.ts
@@ -1,5 +1,6 @@
 import { DRAIN_CHECK_PERIOD_MS } from '../constants/leadership.js';
 import { COMMAND_BATCHING_MS, SILENT_AFTER_MISSED_HEARTBEATS } from '../constants/workers.js';
+import type { Count } from '../domain/count.js';
 import type { WorkerTimings } from '../domain/settings.js';
 import type { HeldLeadership, RoleLeadership } from '../leadership/role-leadership.js';
 import type { Log } from '../logging/log.js';
@@ -34,7 +35,7 @@
 /** Commands to send, with the role and the fencing token under which they are sent. */
 interface CommandRequest {
   role: string;
-  fencingToken: number;
+  fencingToken: Count;
   commands: readonly WorkerCommand[];
   /** Whether these are all commands that are due; the others are sent once these are answered. */
   isComplete: boolean;
@@ -43,7 +44,7 @@
 /** Commands in flight, with the role and the fencing token under which they were sent. */
 interface SentCommands {
   role: string;
-  fencingToken: number;
+  fencingToken: Count;
   launches: readonly TaskAttempt[];
 }
 
--- a/src/workers/fencing-token-advancer.ts
+++ b/src/workers/fencing-token-advancer.ts
@@ -1,4 +1,5 @@
 import { MAX_KEPT_EXITS, TOKEN_ADVANCE_PAUSE_MS } from '../constants/leadership.js';
+import type { Count } from '../domain/count.js';
 import type { HeldLeadership, RoleLeadership } from '../leadership/role-leadership.js';
 import type { Clock } from '../net/clock.js';
 
@@ -26,7 +27,7 @@
 /** The demand for a new token of one role. */
 interface RoleDemand {
   /** The token that has to be replaced. */
-  fencingToken: number;
+  fencingToken: Count;
   /** Monotonic ms of the first demand under that token. */
   since: number;
   /** Machines for which commands wait. */
--- a/src/workers/fencing-token-sender.ts
+++ b/src/workers/fencing-token-sender.ts
@@ -3,6 +3,7 @@
   TOKEN_ANNOUNCEMENTS_SHARE,
   TOKEN_REANNOUNCE_DELAY_MS,
 } from '../constants/workers.js';
+import type { Count } from '../domain/count.js';
 import type { LeadershipTerm, RoleLeadership } from '../leadership/role-leadership.js';
 import type { Clock } from '../net/clock.js';
 import type { HttpClient } from '../net/http-client.js';
@@ -30,7 +31,7 @@
   machineId: string;
   endpoint: string;
   /** The newest agent epoch known of the machine; 0 if none is known. */
-  agentEpoch: number;
+  agentEpoch: Count;
 }
 
 /** Sends the fencing token to workers without contact since the takeover, so that they refuse older commands. */
--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -1,3 +1,4 @@
+import type { Count } from '../domain/count.js';
 import type { Settings } from '../domain/settings.js';
 import { heartbeatLateMs } from '../domain/worker-deadlines.js';
 import type { HeldLeadership, RoleLeadership } from '../leadership/role-leadership.js';
@@ -123,7 +124,7 @@
   private encodeCommands(
     worker: Worker,
     commands: readonly WorkerCommand[],
-    { target, heartbeatSequence }: { target: CommandTarget; heartbeatSequence: number },
+    { target, heartbeatSequence }: { target: CommandTarget; heartbeatSequence: Count },
   ): WireCommand[] {
     const sent = commandsForOneMessage(commands);
     for (const command of sent) {
--- a/src/workers/heartbeat-service.ts
+++ b/src/workers/heartbeat-service.ts
@@ -2,6 +2,7 @@
 import type { ForwardedHeartbeat, ForwardedHeartbeatAnswer } from '../gossip/messages.js';
 import type { Log } from '../logging/log.js';
 import type { RefusalLog } from '../logging/refusal-log.js';
+import { parseJson, stringifyJson } from '../net/json.js';
 import type { JsonResponse } from '../net/json-response.js';
 import type { WorkerManager } from './worker-manager.js';
 import type { HeartbeatOutcome } from './worker-manager-dependencies.js';
@@ -52,7 +53,7 @@
   /** Returns the leader's own response, or a redirect if the leader does not respond with 200 in time. */
   private async forward(leader: string, body: unknown): Promise<JsonResponse> {
     const response = await this.dependencies.heartbeatForwarder.forward(leader, body);
-    const leaderResponse = response?.status === 200 ? parseJson(response.body) : undefined;
+    const leaderResponse = response?.status === 200 ? tryParseJson(response.body) : undefined;
     if (leaderResponse === undefined) return encodeOutcome({ kind: 'redirected', node: leader, shouldForward: false });
     return { status: 200, body: leaderResponse };
   }
@@ -60,13 +61,13 @@
   /** Responds to a heartbeat that another node forwarded; undefined if it can't be decoded. */
   answerForwarded({ node: sender, id, status: text }: ForwardedHeartbeat): ForwardedHeartbeatAnswer | undefined {
     const { node, workerManager, log } = this.dependencies;
-    const workerStatus = decodeWorkerStatus(parseJson(text));
+    const workerStatus = decodeWorkerStatus(tryParseJson(text));
     if (workerStatus === undefined) {
       log.warn({ sender }, 'forwarded heartbeat rejected');
       return undefined;
     }
     const { status, body } = encodeOutcome(workerManager.handleHeartbeat(workerStatus, sender));
-    return { node, id, status, body: JSON.stringify(body) };
+    return { node, id, status, body: stringifyJson(body) };
   }
 }
 
@@ -82,9 +83,9 @@
 }
 
 /** Returns undefined if the text is not JSON. */
-function parseJson(text: string): unknown {
+function tryParseJson(text: string): unknown {
   try {
-    return JSON.parse(text) as unknown;
+    return parseJson(text);
   } catch {
     return undefined;
   }
--- a/src/workers/launch-invariant.ts
+++ b/src/workers/launch-invariant.ts
@@ -2,6 +2,7 @@
  * Run-time check of every decision by which a worker may come to not know an attempt, or which relies on its absence: no
  * launch of the attempt that was sent may have an effect any more.
  */
+import type { Count } from '../domain/count.js';
 import type { Invariants } from '../logging/invariants.js';
 import { attemptOf, type TaskAttempt } from './attempt-key.js';
 import type { PlacementRelease, ReconciliationPlan } from './reconciliation.js';
@@ -14,7 +15,7 @@
 export function checkLaunchesRuledOut(
   worker: Worker,
   { commands, releases }: ReconciliationPlan,
-  { fencingToken, invariants }: { fencingToken: number; invariants: Invariants },
+  { fencingToken, invariants }: { fencingToken: Count; invariants: Invariants },
 ): void {
   const report = (decision: string, { taskId, attempt }: TaskAttempt): void =>
     invariants.violated(NO_LATE_LAUNCH, { decision, machineId: worker.machineId, taskId, attempt, fencingToken });
@@ -26,7 +27,7 @@
   }
 }
 
-function isCommandSafe({ launches }: Worker, command: WorkerCommand, fencingToken: number): boolean {
+function isCommandSafe({ launches }: Worker, command: WorkerCommand, fencingToken: Count): boolean {
   switch (command.kind) {
     case 'kill':
       return true;
--- a/src/workers/misrouted-workers.ts
+++ b/src/workers/misrouted-workers.ts
@@ -1,5 +1,6 @@
 import { MISROUTED_HEARTBEAT_VALID_MS } from '../constants/gossip.js';
 import { REDIRECT_AGAIN_MS } from '../constants/workers.js';
+import type { Count } from '../domain/count.js';
 import type { WorkerStatus } from './worker-wire-codec.js';
 
 /**
@@ -26,7 +27,7 @@
    * Records a heartbeat; `leaderToken` is the present leader's fencing token, if there is a leader. Returns whether the
    * worker can't reach its leader, so that the heartbeat should be forwarded.
    */
-  recordHeartbeat(workerStatus: WorkerStatus, leaderToken: number | undefined, now: number): boolean {
+  recordHeartbeat(workerStatus: WorkerStatus, leaderToken: Count | undefined, now: number): boolean {
     const isCutOff = this.updateCutOff(workerStatus, leaderToken, now);
     this.lastHeartbeatAt.set(workerStatus.machineId, now);
     return isCutOff;
@@ -46,7 +47,7 @@
    * leader before, or it sends heartbeats here repeatedly. It is still redirected every REDIRECT_AGAIN_MS, so that it
    * returns to the leader once that is reachable again.
    */
-  private updateCutOff(workerStatus: WorkerStatus, leaderToken: number | undefined, now: number): boolean {
+  private updateCutOff(workerStatus: WorkerStatus, leaderToken: Count | undefined, now: number): boolean {
     const { machineId, fencingToken } = workerStatus;
     const hasLeaderToken = fencingToken === leaderToken;
     if (!hasLeaderToken && !this.has(machineId)) return false;
--- a/src/workers/reconciliation.ts
+++ b/src/workers/reconciliation.ts
@@ -2,6 +2,7 @@
  * Compares the placements recorded for a machine with the status that its worker reports. Pure and level-triggered: the
  * same inputs give the same plan, however often it is made.
  */
+import type { Count } from '../domain/count.js';
 import type { PlacedTask } from '../records/cluster-state.js';
 import type { TaskEnding } from '../records/placement-mutations.js';
 import type { ReleaseProof } from '../records/placement-rules.js';
@@ -20,24 +21,24 @@
 
 /** The newest status of a worker, and the launches that may still arrive there. */
 export interface WorkerView {
-  readonly agentEpoch: number;
+  readonly agentEpoch: Count;
   /** Highest fencing token that the worker has reported. */
-  readonly fencingToken: number;
+  readonly fencingToken: Count;
   /** By task id. */
   readonly tasks: ReadonlyMap<string, ReportedTask>;
   readonly launches: {
     /** Whether a worker that has seen this token executes no launch of the attempt that was sent so far. */
-    isRuledOut(launch: TaskAttempt, fencingToken: number): boolean;
+    isRuledOut(launch: TaskAttempt, fencingToken: Count): boolean;
     /** The same for all other attempts of the task. */
-    areOtherAttemptsRuledOut(launch: TaskAttempt, fencingToken: number): boolean;
+    areOtherAttemptsRuledOut(launch: TaskAttempt, fencingToken: Count): boolean;
     /** Whether a launch of the attempt may have been requested under this token or a higher one. */
-    mayBeRequestedSince(fencingToken: number, launch: TaskAttempt): boolean;
+    mayBeRequestedSince(fencingToken: Count, launch: TaskAttempt): boolean;
   };
 }
 
 /** Which commands this node may send to the worker now. */
 export interface CommandPermissions {
-  fencingToken: number;
+  fencingToken: Count;
   /** The placements up to the takeover are known and the store has just confirmed them, so launches are allowed. */
   canLaunch: boolean;
   /** The placements up to the takeover are known, so a task without one does not belong on the machine. */
@@ -136,7 +137,7 @@
 export function findProvenRelease(
   worker: WorkerView,
   desiredTask: DesiredTask,
-  fencingToken: number,
+  fencingToken: Count,
 ): PlacementRelease | undefined {
   const { placedTask } = desiredTask;
   const { attempt, agentEpoch } = placedTask.placement;
@@ -203,7 +204,7 @@
   isCancelled || placedTask.placement.gracePeriodS !== null;
 
 /** Whether a launch of this attempt, which is absent from the newest status, can certainly have no effect any more. */
-const isLaunchRuledOut = (worker: WorkerView, launch: TaskAttempt, fencingToken: number): boolean =>
+const isLaunchRuledOut = (worker: WorkerView, launch: TaskAttempt, fencingToken: Count): boolean =>
   worker.fencingToken === fencingToken && worker.launches.isRuledOut(launch, worker.fencingToken);
 
 /**
--- a/src/workers/report-space.ts
+++ b/src/workers/report-space.ts
@@ -3,18 +3,19 @@
  * forgets its exit, so it may have no space for a task although the machine has resources for it.
  */
 import { MAX_REPORTED_TASKS_BYTES } from '../constants/worker-report.js';
+import type { Count } from '../domain/count.js';
 import { reportedTaskBytes } from '../domain/worker-report.js';
 import type { TaskAttempt } from './attempt-key.js';
 
 /** The newest status of a worker, and the launches that may still arrive there. */
 export interface ReportingWorker {
   /** Highest fencing token that the worker has reported. */
-  readonly fencingToken: number;
+  readonly fencingToken: Count;
   /** By task id. */
   readonly tasks: ReadonlyMap<string, unknown>;
   readonly launches: {
     /** Whether a worker that has seen this token executes no launch of the attempt that was sent so far. */
-    isRuledOut(launch: TaskAttempt, fencingToken: number): boolean;
+    isRuledOut(launch: TaskAttempt, fencingToken: Count): boolean;
   };
 }
 
@@ -30,7 +31,7 @@
 export function tasksWithoutReportSpace(
   worker: ReportingWorker,
   missing: readonly TaskAttempt[],
-  fencingToken: number,
+  fencingToken: Count,
 ): ReadonlySet<string> {
   let freeBytes = MAX_REPORTED_TASKS_BYTES - totalBytes(worker.tasks.keys());
   if (totalBytes(missing.map(({ taskId }) => taskId)) <= freeBytes) return NO_TASKS;
--- a/src/workers/sent-launches.ts
+++ b/src/workers/sent-launches.ts
@@ -1,10 +1,11 @@
+import { type Count, maxCount } from '../domain/count.js';
 import type { TaskAttempt } from './attempt-key.js';
 import { LaunchesByTask } from './launches-by-task.js';
 
 /** A launch that was sent in a request to `/commands`. */
 interface RequestedLaunch extends TaskAttempt {
   /** The fencing token of the request. */
-  readonly fencingToken: number;
+  readonly fencingToken: Count;
   /** The request has no answer yet. */
   isUnanswered: boolean;
 }
@@ -12,14 +13,14 @@
 /** A launch that was sent in the response to a heartbeat. */
 interface LaunchInResponse extends TaskAttempt {
   /** Sequence number of that heartbeat. */
-  readonly sequence: number;
+  readonly sequence: Count;
 }
 
 /** The part of a worker's newest status that affects the launches sent to it. */
 interface ReportedStatus {
   /** Highest fencing token that the worker has reported. */
-  fencingToken: number;
-  sequence: number;
+  fencingToken: Count;
+  sequence: Count;
   /** Whether the status came in a heartbeat, not in a command response. */
   isHeartbeat: boolean;
 }
@@ -33,7 +34,7 @@
 export class SentLaunches {
   /** Monotonic ms since when a launch of a cancelled task may arrive; undefined if none may. */
   cancelledLaunchSince: number | undefined;
-  private reportedToken = -Infinity;
+  private reportedToken: Count = -Infinity;
   private readonly requested = new LaunchesByTask<RequestedLaunch>();
   private readonly inResponses = new LaunchesByTask<LaunchInResponse>();
 
@@ -41,12 +42,12 @@
    * @param unrecordedToken the highest fencing token under which launches may have been requested that are not recorded here;
    * those of former leaders have lower tokens than any command of this node
    */
-  constructor(private readonly unrecordedToken = -Infinity) {}
+  constructor(private readonly unrecordedToken: Count = -Infinity) {}
 
   /** The highest fencing token under which a launch may have been requested. */
-  get highestToken(): number {
+  get highestToken(): Count {
     let highest = this.unrecordedToken;
-    for (const { fencingToken } of this.requested.all()) highest = Math.max(highest, fencingToken);
+    for (const { fencingToken } of this.requested.all()) highest = maxCount(highest, fencingToken);
     return highest;
   }
 
@@ -59,7 +60,7 @@
   }
 
   /** Whether a launch of the attempt may have been requested under this fencing token or a higher one. */
-  mayBeRequestedSince(fencingToken: number, { taskId, attempt }: TaskAttempt): boolean {
+  mayBeRequestedSince(fencingToken: Count, { taskId, attempt }: TaskAttempt): boolean {
     return this.isAnyRequestedSince(fencingToken, taskId, (each) => each.attempt === attempt);
   }
 
@@ -67,21 +68,21 @@
    * Whether a worker that has seen this fencing token executes no launch of the attempt that was sent so far, even if it does
    * not know the attempt. Whatever makes the worker forget an attempt, or relies on the attempt's absence, depends on this.
    */
-  isRuledOut({ taskId, attempt }: TaskAttempt, fencingToken: number): boolean {
+  isRuledOut({ taskId, attempt }: TaskAttempt, fencingToken: Count): boolean {
     return this.areRuledOut(taskId, fencingToken, (each) => each.attempt === attempt);
   }
 
   /** Like `isRuledOut`, for all other attempts of the task: a worker may know only one of them. */
-  areOtherAttemptsRuledOut({ taskId, attempt }: TaskAttempt, fencingToken: number): boolean {
+  areOtherAttemptsRuledOut({ taskId, attempt }: TaskAttempt, fencingToken: Count): boolean {
     return this.areRuledOut(taskId, fencingToken, (each) => each.attempt !== attempt);
   }
 
-  private areRuledOut(taskId: string, fencingToken: number, concerns: (launch: TaskAttempt) => boolean): boolean {
+  private areRuledOut(taskId: string, fencingToken: Count, concerns: (launch: TaskAttempt) => boolean): boolean {
     return !this.isAnyRequestedSince(fencingToken, taskId, concerns) && !this.inResponses.of(taskId).some(concerns);
   }
 
   private isAnyRequestedSince(
-    fencingToken: number,
+    fencingToken: Count,
     taskId: string,
     concerns: (launch: TaskAttempt) => boolean,
   ): boolean {
@@ -90,18 +91,18 @@
   }
 
   /** Records that a launch is sent in a request under this token. */
-  recordRequest({ taskId, attempt }: TaskAttempt, fencingToken: number): void {
+  recordRequest({ taskId, attempt }: TaskAttempt, fencingToken: Count): void {
     this.requested.add({ taskId, attempt, fencingToken, isUnanswered: true });
   }
 
   /** Records that the request under this token was answered: copies of it may still arrive. */
-  markAnswered({ taskId, attempt }: TaskAttempt, fencingToken: number): void {
+  markAnswered({ taskId, attempt }: TaskAttempt, fencingToken: Count): void {
     for (const each of this.requested.of(taskId))
       if (each.attempt === attempt && each.fencingToken === fencingToken) each.isUnanswered = false;
   }
 
   /** Records that the unanswered request under this token was refused, or never reached the worker. */
-  markNotExecuted({ taskId, attempt }: TaskAttempt, fencingToken: number): void {
+  markNotExecuted({ taskId, attempt }: TaskAttempt, fencingToken: Count): void {
     this.requested.removeOf(
       taskId,
       (each) => each.isUnanswered && each.attempt === attempt && each.fencingToken === fencingToken,
@@ -109,7 +110,7 @@
   }
 
   /** Records that a launch is sent in the response to the heartbeat with this sequence number. */
-  recordInHeartbeatResponse({ taskId, attempt }: TaskAttempt, sequence: number): void {
+  recordInHeartbeatResponse({ taskId, attempt }: TaskAttempt, sequence: Count): void {
     this.inResponses.add({ taskId, attempt, sequence });
   }
 
--- a/src/workers/token-announcer.ts
+++ b/src/workers/token-announcer.ts
@@ -1,3 +1,4 @@
+import { type Count, maxCount } from '../domain/count.js';
 import type { RoleLeadership } from '../leadership/role-leadership.js';
 import type { ClusterState } from '../records/cluster-state.js';
 import type { AnnouncementTarget } from './fencing-token-sender.js';
@@ -48,10 +49,10 @@
   }
 
   /** The newest agent epoch among the placements on the machine; 0 if there are none. */
-  private newestAgentEpoch(machineId: string): number {
-    let newest = 0;
+  private newestAgentEpoch(machineId: string): Count {
+    let newest: Count = 0;
     for (const { placement } of this.dependencies.clusterState.tasksOn(machineId)) {
-      newest = Math.max(newest, placement.agentEpoch);
+      newest = maxCount(newest, placement.agentEpoch);
     }
     return newest;
   }
--- a/src/workers/worker-manager-dependencies.ts
+++ b/src/workers/worker-manager-dependencies.ts
@@ -1,4 +1,5 @@
 /** The worker manager's dependencies, its events, and the outcomes of heartbeats. */
+import type { Count } from '../domain/count.js';
 import type { Settings } from '../domain/settings.js';
 import type { RoleLeadership } from '../leadership/role-leadership.js';
 import type { Invariants } from '../logging/invariants.js';
@@ -15,7 +16,7 @@
 /** How a heartbeat is answered. */
 export type HeartbeatOutcome =
   /** The response renews the worker's lease. */
-  | { kind: 'answered'; fencingToken: number; commands: readonly WireCommand[] }
+  | { kind: 'answered'; fencingToken: Count; commands: readonly WireCommand[] }
   /**
    * Another node leads the worker's partition, or, if `node` is undefined, the machine is terminated. `shouldForward`: the
    * worker seems to be cut off from that node, so its heartbeat should be forwarded.
--- a/src/workers/worker-reachability.ts
+++ b/src/workers/worker-reachability.ts
@@ -1,12 +1,13 @@
+import type { Count } from '../domain/count.js';
 import { leaseExpiresAt } from '../domain/worker-deadlines.js';
 import { isNewerThan, type StatusVersion } from './worker-wire-codec.js';
 
 /** A heartbeat that is about to be answered with 200. */
 export interface AnsweredHeartbeat {
   /** Version and fencing token that the heartbeat reports. */
-  status: StatusVersion & { fencingToken: number };
+  status: StatusVersion & { fencingToken: Count };
   /** The fencing token in the response. */
-  fencingToken: number;
+  fencingToken: Count;
   /** The node that forwarded the heartbeat; undefined if it came directly. */
   forwardedBy: string | undefined;
   /** ms after an answered heartbeat by which the next one is late. */
@@ -35,7 +36,7 @@
    * The fencing token in the first response to this worker: until the worker reports it, nothing proves that responses
    * arrive.
    */
-  private firstFencingToken: number | undefined;
+  private firstFencingToken: Count | undefined;
   /** Monotonic ms when the last heartbeat arrived whose response is known to have reached the worker. */
   private confirmedAt = -Infinity;
   /** Whether the worker missed the response to the heartbeat before its last one. */
@@ -54,7 +55,7 @@
    */
   recordResponse(
     { status, fencingToken, forwardedBy, lateAfterMs, now }: AnsweredHeartbeat,
-    previousToken: number,
+    previousToken: Count,
   ): void {
     this.lastAnsweredHeartbeat = { agentEpoch: status.agentEpoch, sequence: status.sequence };
     this.lastHeartbeatAt = now;
@@ -80,7 +81,7 @@
    * that.
    * @param reportedToken the highest fencing token that the worker has reported
    */
-  isReached(reportedToken: number): boolean {
+  isReached(reportedToken: Count): boolean {
     return !this.hasMissedResponse && this.firstFencingToken !== undefined && reportedToken >= this.firstFencingToken;
   }
 
--- a/src/workers/worker-registry.ts
+++ b/src/workers/worker-registry.ts
@@ -1,4 +1,5 @@
 import { REPLICA_FRESH_MS } from '../constants/leadership.js';
+import { type Count, maxCount } from '../domain/count.js';
 import { partitionRole } from '../domain/role.js';
 import type { WorkerTimings } from '../domain/settings.js';
 import { leaseExpiresAt } from '../domain/worker-deadlines.js';
@@ -16,7 +17,7 @@
   /** Monotonic ms of the last contact with any worker that was forgotten during the term. */
   lastForgottenContactAt: number;
   /** The highest fencing token under which launches were requested from any of these workers. */
-  forgottenLaunchToken: number;
+  forgottenLaunchToken: Count;
 }
 
 /**
@@ -87,7 +88,7 @@
     if (partition === undefined || worker === undefined) return;
     partition.workers.delete(machineId);
     partition.lastForgottenContactAt = Math.max(partition.lastForgottenContactAt, lastAnswerableAt(worker));
-    partition.forgottenLaunchToken = Math.max(partition.forgottenLaunchToken, worker.launches.highestToken);
+    partition.forgottenLaunchToken = maxCount(partition.forgottenLaunchToken, worker.launches.highestToken);
   }
 
   /**
--- a/src/workers/worker-wire-codec.ts
+++ b/src/workers/worker-wire-codec.ts
@@ -5,14 +5,20 @@
 import * as v from 'valibot';
 
 import { MAX_NAME_CHARACTERS } from '../constants/protocol.js';
+import { type Count, toCount } from '../domain/count.js';
 import type { MachineIdentity } from '../domain/machine-state.js';
 
-const nonNegativeInteger = v.pipe(v.number(), v.integer(), v.minValue(0));
+/** A count, in the form in which equal counts are equal. */
+const count = v.pipe(
+  v.unknown(),
+  v.transform(toCount),
+  v.custom<Count>((value) => value !== undefined),
+);
 const nonEmptyText = v.pipe(v.string(), v.minLength(1), v.maxLength(MAX_NAME_CHARACTERS));
 
 const WireTaskSchema = v.object({
   Shard: nonEmptyText,
-  Try: nonNegativeInteger,
+  Try: count,
   Phase: v.string(),
   Cause: v.optional(v.nullable(v.string()), null),
   Saved: v.optional(v.nullable(v.boolean()), null),
@@ -24,9 +30,12 @@
   Flavor: nonEmptyText,
   Site: nonEmptyText,
   Reclaimable: v.optional(v.nullable(v.boolean()), false),
-  Tenure: v.pipe(nonNegativeInteger, v.minValue(1)),
-  Tick: nonNegativeInteger,
-  Fence: v.optional(v.nullable(nonNegativeInteger), 0),
+  Tenure: v.pipe(
+    count,
+    v.check((value) => value >= 1),
+  ),
+  Tick: count,
+  Fence: v.optional(v.nullable(count), 0),
   WarningS: v.optional(v.nullable(v.number()), null),
   Shards: v.optional(v.nullable(v.array(WireTaskSchema)), []),
 });
@@ -36,7 +45,7 @@
 
 /** A task as its worker reports it. */
 export interface ReportedTask {
-  attempt: number;
+  attempt: Count;
   state: ReportedTaskState;
   /** Why the task exited, if it has. Reasons unknown to this program are kept as the worker sends them. */
   exitReason: string | null;
@@ -47,7 +56,7 @@
 /** The status of a worker: the body of its heartbeats and of its responses to commands. */
 export interface WorkerStatus extends MachineIdentity {
   /** Highest fencing token that the worker has seen. */
-  fencingToken: number;
+  fencingToken: Count;
   /** Seconds until the cloud reclaims the machine; null without a spot notice. */
   spotNoticeS: number | null;
   /** By task id. */
@@ -113,9 +122,9 @@
 
 /** A command to a worker. Workers execute commands in order. */
 export type WorkerCommand =
-  | { kind: 'launch'; taskId: string; attempt: number }
-  | { kind: 'kill'; taskId: string; attempt: number; gracePeriodS: number }
-  | { kind: 'forget'; taskId: string; attempt: number };
+  | { kind: 'launch'; taskId: string; attempt: Count }
+  | { kind: 'kill'; taskId: string; attempt: Count; gracePeriodS: number }
+  | { kind: 'forget'; taskId: string; attempt: Count };
 
 /** A command in the wire form. */
 export type WireCommand = object;
@@ -131,9 +140,9 @@
 /** Commands sent to a worker directly, not in the response to a heartbeat. */
 export interface DirectCommands {
   /** A worker that has seen a higher token refuses the commands. */
-  fencingToken: number;
+  fencingToken: Count;
   /** A worker in another agent epoch refuses the commands. */
-  agentEpoch: number;
+  agentEpoch: Count;
   commands: readonly WorkerCommand[];
 }
 
@@ -145,7 +154,7 @@
 });
 
 /** The response to a heartbeat: the leader's fencing token and commands. */
-export const encodeHeartbeatResponse = (fencingToken: number, commands: readonly WireCommand[]): unknown => ({
+export const encodeHeartbeatResponse = (fencingToken: Count, commands: readonly WireCommand[]): unknown => ({
   Fence: fencingToken,
   Orders: commands,
 });
--- a/src/workers/worker.ts
+++ b/src/workers/worker.ts
@@ -1,3 +1,4 @@
+import { type Count, maxCount } from '../domain/count.js';
 import { AttemptRunTimes } from './attempt-run-times.js';
 import { ImageCache } from './image-cache.js';
 import { MachineHealth } from './machine-health.js';
@@ -17,10 +18,10 @@
   machineType = '';
   zone = '';
   isSpot = false;
-  agentEpoch = 0;
-  sequence = -1;
+  agentEpoch: Count = 0;
+  sequence: Count = -1;
   /** Highest fencing token that the worker has reported. */
-  fencingToken = 0;
+  fencingToken: Count = 0;
   /** Monotonic ms when the newest status arrived, in a heartbeat or a command response. */
   lastContactAt = -Infinity;
   /** Monotonic ms when the cloud reclaims the machine; null without a spot notice. */
@@ -36,7 +37,7 @@
   /** @param unrecordedToken see `SentLaunches` */
   constructor(
     readonly machineId: string,
-    unrecordedToken?: number,
+    unrecordedToken?: Count,
   ) {
     this.launches = new SentLaunches(unrecordedToken);
   }
@@ -60,7 +61,7 @@
     this.machineType = workerStatus.machineType;
     this.zone = workerStatus.zone;
     this.isSpot = workerStatus.isSpot;
-    this.fencingToken = Math.max(this.fencingToken, workerStatus.fencingToken);
+    this.fencingToken = maxCount(this.fencingToken, workerStatus.fencingToken);
     this.tasks = workerStatus.tasks;
     this.spotTerminationAt = workerStatus.spotNoticeS === null ? null : now + workerStatus.spotNoticeS * 1000;
     this.lastContactAt = now;
--- a/test/api/submissions.test.ts
+++ b/test/api/submissions.test.ts
@@ -199,7 +199,7 @@
     await startCluster({ nodes: 2 });
     const node = cluster.node(1);
     await submit({ Ref: 'j-old', Shape: 'service' });
-    const { modRevision } = node.replica.get('live/job/j-old');
+    const modRevision = Number(node.replica.get('live/job/j-old').modRevision);
     const changes = [
       { key: 'live/job/j-old', value: null, modRevision: modRevision + 1000 },
       { key: 'live/job/j-new', value: '{"spec":', modRevision: modRevision + 1000 },
--- a/test/workers/heartbeats.test.ts
+++ b/test/workers/heartbeats.test.ts
@@ -61,7 +61,7 @@
     await startCluster(1, 1);
     const worker = new Worker('i-000000');
     const workerStatus = decodeWorkerStatus(cluster.workers.get('i-000000')!.composeHeartbeat())!;
-    worker.applyStatus({ ...workerStatus, sequence: workerStatus.sequence + 5 }, 100, false);
+    worker.applyStatus({ ...workerStatus, sequence: Number(workerStatus.sequence) + 5 }, 100, false);
     assert.equal(worker.isLate(workerStatus), false);
     worker.recordResponse({
       status: workerStatus,
@@ -73,7 +73,7 @@
     assert.equal(worker.isLate(workerStatus), true);
     for (let n = 1; n <= 5; n++) {
       // Every heartbeat is overtaken by a command response, but the worker stays with this node and is in time.
-      const next = { ...workerStatus, sequence: workerStatus.sequence + n, fencingToken: 1 };
+      const next = { ...workerStatus, sequence: Number(workerStatus.sequence) + n, fencingToken: 1 };
       assert.equal(worker.isLate(next), false);
       worker.recordResponse({
         status: next,
--- a/testing/cluster-nodes.ts
+++ b/testing/cluster-nodes.ts
@@ -134,7 +134,8 @@
   }
 
   private deliver(from: string, to: string, message: OpaqueMessage): boolean {
-    const bytes = (this.nodes.get(from)?.version ?? CURRENT_VERSION).encodeMessage(message);
+    const receiver = this.nodes.get(to)?.version ?? CURRENT_VERSION;
+    const bytes = (this.nodes.get(from)?.version ?? CURRENT_VERSION).encodeMessage(message, receiver);
     this.network.sendOneWay(from, to, () => {
       const node = this.nodes.get(to);
       void node?.freezer.untilThawed().then(() => node.controller.receive(node.version.decodeMessage(bytes)));
--- a/testing/cluster-workers.ts
+++ b/testing/cluster-workers.ts
@@ -1,6 +1,7 @@
 /** The machines of a cluster: adds and removes them, sends their heartbeats, and keeps the history of their tasks. */
 import { MAX_MESSAGE_BYTES } from '../src/constants/protocol.js';
 import type { HttpResponse } from '../src/net/http-client.js';
+import { stringifyJson } from '../src/net/json.js';
 import type { Random } from '../src/net/random.js';
 import type { FakeClock } from './fake-clock.js';
 import type { FakeCloud } from './fake-cloud.js';
@@ -139,7 +140,7 @@
   /** Whether the body of a request exceeds the protocol's limit, which is reported to the checker. */
   private isTooLarge(machineId: string, kind: 'report' | 'commands', body: unknown): boolean {
     const { checker, clock } = this.dependencies;
-    const bytes = Buffer.byteLength(JSON.stringify(body) ?? '');
+    const bytes = Buffer.byteLength(stringifyJson(body) ?? '');
     if (bytes > MAX_MESSAGE_BYTES) checker.messageTooLarge(clock.now(), machineId, `${kind} of ${bytes} bytes`);
     return bytes > MAX_MESSAGE_BYTES;
   }
--- a/testing/cluster.ts
+++ b/testing/cluster.ts
@@ -9,7 +9,7 @@
 import { FakeClock } from './fake-clock.js';
 import { FakeCloud } from './fake-cloud.js';
 import { FakeGangs } from './fake-gangs.js';
-import { FakeNetwork } from './fake-network.js';
+import { FakeNetwork, type RequestHandler } from './fake-network.js';
 import { FakeStore } from './fake-store.js';
 import { FakeUsers } from './fake-users.js';
 import type { FakeWorker } from './fake-worker.js';
@@ -17,6 +17,7 @@
 import type { FreezeTrigger } from './freezer.js';
 import { InvariantChecker } from './invariant-checker.js';
 import { takeViolatedInvariants } from './invariant-log.js';
+import { withLargeRevisions } from './large-revisions.js';
 import { LinkFaults } from './link-faults.js';
 import { currentController, type TestedController } from './program-version.js';
 import { decodeSubmission, decodeSubmittedId, type Submission } from './submission-wire-codec.js';
@@ -72,7 +73,7 @@
       },
       onTaskEnd: (taskId, reason) => this.onTaskEnd(taskId, reason),
     });
-    this.serve();
+    this.serve(options.revisionOffset ?? 0n);
     const service = {
       nodes: this.nodes.count,
       isHealthy: (index: number) => this.nodes.get(index)?.controller.isHealthy() === true,
@@ -86,11 +87,11 @@
     void this.tick();
   }
 
-  private serve(): void {
-    this.network.serve('store:1', (method, path, body, { from, isLate }) =>
+  private serve(revisionOffset: bigint): void {
+    const handle: RequestHandler = (method, path, body, { from, isLate }) =>
       // A late request counts as received before the store began to refuse its sender.
-      this.store.handle(method, path, body, isLate === true ? undefined : from),
-    );
+      this.store.handle(method, path, body, isLate === true ? undefined : from);
+    this.network.serve('store:1', revisionOffset === 0n ? handle : withLargeRevisions(handle, revisionOffset));
     this.network.serve('cloud:1', (method, path, body) => this.cloud.handle(method, path, body));
   }
 
--- a/testing/fake-network.ts
+++ b/testing/fake-network.ts
@@ -1,5 +1,6 @@
 /** An in-memory fake of the network between all hosts of a cluster. */
 import { type CallOptions, type HttpClient, type HttpResponse, NoResponseError } from '../src/net/http-client.js';
+import { parseJson, stringifyJson } from '../src/net/json.js';
 import { Random } from '../src/net/random.js';
 import type { FakeClock } from './fake-clock.js';
 
@@ -231,7 +232,7 @@
     options: CallOptions,
   ): Promise<HttpResponse> {
     const sender: Sender = { from, sentAt: this.clock.now() };
-    const copy: unknown = body === undefined ? undefined : JSON.parse(JSON.stringify(body));
+    const copy: unknown = body === undefined ? undefined : parseJson(stringifyJson(body));
     const { fault, copyFault } = this.faultsOf({ from, to, path }, copy);
     const description = `${method} ${to}${path}`;
     if (!this.handlers.has(to) || fault?.kind === 'refuse') throw new NoResponseError(`${description}: refused`, false);
@@ -260,7 +261,7 @@
     timedOut.catch(() => undefined);
     reply.catch(() => undefined);
     try {
-      return JSON.parse(JSON.stringify(await Promise.race([reply, timedOut]))) as HttpResponse;
+      return parseJson(stringifyJson(await Promise.race([reply, timedOut]))) as HttpResponse;
     } finally {
       cancel();
     }
--- a/testing/fake-worker-wire-codec.ts
+++ b/testing/fake-worker-wire-codec.ts
@@ -32,7 +32,7 @@
   zone: string;
   isSpot: boolean;
   agentEpoch: number;
-  sequence: number;
+  sequence: number | bigint;
   fencingToken: number;
   spotNoticeS: number | null;
   tasks: ReadonlyMap<string, TaskStatus>;
--- a/testing/fake-worker.ts
+++ b/testing/fake-worker.ts
@@ -29,7 +29,7 @@
   /** All runs of tasks, in the order of their starts. */
   readonly history: TaskRun[] = [];
   agentEpoch = 1;
-  sequence = 0;
+  sequence: number | bigint;
   /** The highest fencing token that it has seen. */
   fencingToken = 0;
   /** Seconds until the cloud reclaims the spot machine; null if it has not given notice. */
@@ -58,6 +58,7 @@
     private readonly environment: WorkerEnvironment,
   ) {
     this.endpoint = `${options.machineId}:9000`;
+    this.sequence = options.firstSequence ?? 0;
     this.leaseRenewedAt = clock.now();
     this.heartbeats = new HeartbeatSender(clock, this);
     this.scheduleWake();
@@ -209,13 +210,18 @@
       zone: this.options.zone ?? 'a',
       isSpot: this.options.isSpot ?? false,
       agentEpoch: this.agentEpoch,
-      sequence: ++this.sequence,
+      sequence: this.nextSequence(),
       fencingToken: this.fencingToken,
       spotNoticeS: this.spotNoticeS,
       tasks: this.tasks,
     });
   }
 
+  private nextSequence(): number | bigint {
+    this.sequence = typeof this.sequence === 'bigint' ? this.sequence + 1n : this.sequence + 1;
+    return this.sequence;
+  }
+
   private execute(commands: readonly TaskCommand[], delivery: CommandDelivery): void {
     for (const command of commands) {
       const task = this.tasks.get(command.taskId);
--- a/testing/fixtures.ts
+++ b/testing/fixtures.ts
@@ -40,6 +40,8 @@
   version?: ProgramVersion;
   /** Duration of tasks on rented machines, ms. */
   runMs?: number;
+  /** What is added to all revisions and leases of the store; 0 if absent. */
+  revisionOffset?: bigint;
 }
 
 /** A machine type with eight CPUs. */
--- a/testing/loopback-server.ts
+++ b/testing/loopback-server.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net';
 
 import type { HttpResponse } from '../src/net/http-client.js';
+import { parseJson, stringifyJson } from '../src/net/json.js';
 
 export type LoopbackHandler = (method: string, path: string, body: unknown) => Promise<HttpResponse> | HttpResponse;
 
@@ -11,7 +12,7 @@
   const chunks: Buffer[] = [];
   for await (const chunk of request) chunks.push(chunk as Buffer);
   const text = Buffer.concat(chunks).toString('utf8');
-  return text === '' ? undefined : (JSON.parse(text) as unknown);
+  return text === '' ? undefined : parseJson(text);
 }
 
 export class LoopbackServer {
@@ -23,7 +24,7 @@
         .then((body) => handler(request.method ?? 'GET', request.url ?? '/', body))
         .then(({ status, body }) => {
           response.writeHead(status, { 'Content-Type': 'application/json' });
-          response.end(JSON.stringify(body ?? {}));
+          response.end(stringifyJson(body ?? {}));
         })
         .catch(() => response.destroy());
     });
--- a/testing/production-version.ts
+++ b/testing/production-version.ts
@@ -86,11 +86,15 @@
   const load = (file: string) =>
     import(pathToFileURL(resolve(checkout, 'target/test/src', file)).href) as Promise<unknown>;
   const { Controller } = (await load('controller/controller.js')) as { Controller: ProductionConstructor };
-  const messages = (await load('mesh/messages.js')) as Pick<ProgramVersion, 'encodeMessage' | 'decodeMessage'>;
+  const messages = (await load('mesh/messages.js')) as {
+    encodeMessage(message: OpaqueMessage): Buffer;
+    decodeMessage(bytes: Buffer): OpaqueMessage;
+  };
   return {
     // eslint-disable-next-line max-params -- the released version's constructor has six
     createController: (settings, tuning, http, clock, seed) =>
       new ProductionNode(new Controller(settings, tuning, http, clock, noLog, seed)),
+    readsLargeCounts: false,
     encodeMessage: (message) => messages.encodeMessage(message),
     decodeMessage: (bytes) => messages.decodeMessage(bytes),
   };
--- a/testing/program-version.ts
+++ b/testing/program-version.ts
@@ -1,7 +1,7 @@
 /** A version of the program behind an interface that is the same for all versions under test. */
 import { decodeSettings, decodeTuning, type SettingsFile, type TuningFile } from '../src/config/settings-file-codec.js';
 import { Controller } from '../src/controller/controller.js';
-import { decodeMessage, encodeMessage } from '../src/gossip/message-codec.js';
+import { decodeMessage, encodeMessage, type ReceiverAbilities } from '../src/gossip/message-codec.js';
 import type { Message } from '../src/gossip/messages.js';
 import type { Clock } from '../src/net/clock.js';
 import type { HttpClient } from '../src/net/http-client.js';
@@ -36,7 +36,9 @@
     clock: Clock,
     seed: number,
   ): TestedController;
-  encodeMessage(message: OpaqueMessage): Buffer;
+  /** Whether its controllers decode counts above 2^53 in messages. */
+  readonly readsLargeCounts: boolean;
+  encodeMessage(message: OpaqueMessage, receiver: ReceiverAbilities): Buffer;
   decodeMessage(bytes: Buffer): OpaqueMessage;
 }
 
@@ -107,6 +109,7 @@
         log: invariantLog,
       }),
     ),
-  encodeMessage: (message) => encodeMessage(message as Message),
+  readsLargeCounts: true,
+  encodeMessage: (message, receiver) => encodeMessage(message as Message, receiver),
   decodeMessage,
 };
--- a/testing/worker-environment.ts
+++ b/testing/worker-environment.ts
@@ -29,6 +29,8 @@
    * Duration of tasks, ms; if undefined, and always for services and for jobs named j-svc..., they run until killed.
    */
   runMs?: number;
+  /** The sequence number before that of its first report; 0 if absent. */
+  firstSequence?: bigint;
   /** Time to fetch an image, ms; 0 if absent. */
   imageMs?: number;
   /** All tasks that start on the machine fail. */
