Give records named after teams, nodes and machine types keys that the store accepts

The store refuses keys with spaces and above 200 bytes; each transaction that would start such a task named "live/team/echipa platforma 00" and got 400 (157 times in 25 s on the start sources).

Cause: names went into keys as they are. Now a name that the store would refuse, with white space, above 200 bytes or with an unpaired surrogate, stands in the key as a digest, in a folder that no name leads to; all other names keep their keys, so running clusters keep their records. Teams, nodes (record format, standby) and machine types use one function.

Related paths: submissions and reports refused names of more than 200 characters, which the protocol does not limit; lists of machine types were joined by commas, so that a job for ["a,b"] got the machines of ["a", "b"] in a plan with both; joined names hid changes of a machine's images, and mixed up refused offers, if they have spaces.

Tests: the fake store refuses such keys.

--- a/src/api/job-wire-codec.ts
+++ b/src/api/job-wire-codec.ts
@@ -1,13 +1,13 @@
 /** The wire format of submissions and job states, and its decoding and encoding. */
 import * as v from 'valibot';
 
-import { MAX_NAME_CHARACTERS, MAX_TASKS_PER_JOB } from '../constants/protocol.js';
+import { MAX_TASKS_PER_JOB } from '../constants/protocol.js';
 import { JOB_PRIORITIES, type JobSpec } from '../domain/job.js';
 import { decodeJobSpec } from '../records/job-spec-codec.js';
 
 const nonNegativeNumber = v.pipe(v.number(), v.finite(), v.minValue(0));
 const positiveNumber = v.pipe(v.number(), v.finite(), v.gtValue(0));
-const shortText = v.pipe(v.string(), v.minLength(1), v.maxLength(MAX_NAME_CHARACTERS));
+const nonEmptyText = v.pipe(v.string(), v.minLength(1));
 const nullish = <T extends v.GenericSchema>(schema: T) => v.optional(v.nullable(schema), null);
 
 const MAX_MACHINE_TYPES = 100;
@@ -19,18 +19,18 @@
 /** The order of the fields is the order in which they are stored. */
 const JobSchema = v.object({
   Ref: v.pipe(v.string(), v.regex(JOB_ID_PATTERN, 'must look like j-000412')),
-  Jobclass: v.pipe(v.string(), v.maxLength(MAX_NAME_CHARACTERS)),
-  Owner: shortText,
+  Jobclass: v.string(),
+  Owner: nonEmptyText,
   Shape: v.picklist(['array', 'ensemble', 'service']),
   Rank: v.picklist(JOB_PRIORITIES),
   Shards: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(MAX_TASKS_PER_JOB)),
   Cpus: positiveNumber,
   Cards: nonNegativeNumber,
   MemGb: nonNegativeNumber,
-  Bundle: shortText,
+  Bundle: nonEmptyText,
   SizeGb: nonNegativeNumber,
-  Flavors: nullish(v.pipe(v.array(shortText), v.maxLength(MAX_MACHINE_TYPES))),
-  Site: nullish(shortText),
+  Flavors: nullish(v.pipe(v.array(nonEmptyText), v.maxLength(MAX_MACHINE_TYPES))),
+  Site: nullish(nonEmptyText),
   OneZone: v.boolean(),
   Spread: v.boolean(),
   Reclaimable: v.boolean(),
--- a/src/autoscaling/refused-offers.ts
+++ b/src/autoscaling/refused-offers.ts
@@ -1,5 +1,6 @@
 /** Offers that the cloud has refused, for lack of capacity or as invalid; they are not requested again for a while. */
 import { NO_CAPACITY_BACKOFF_MS } from '../constants/autoscaling.js';
+import { escapeSpaces } from '../domain/escape-spaces.js';
 import type { Clock } from '../net/clock.js';
 
 /** A machine type in a zone, on demand or spot. */
@@ -10,7 +11,8 @@
 }
 
 /** Identifies an offer here and in the advisory state that leaders exchange. */
-const offerKey = ({ machineType, zone, isSpot }: OfferId): string => `${machineType} ${zone} ${isSpot}`;
+const offerKey = ({ machineType, zone, isSpot }: OfferId): string =>
+  `${escapeSpaces(machineType)} ${escapeSpaces(zone)} ${isSpot}`;
 
 /** Tracks refusals by offer; the next leader takes over this state. */
 export class RefusedOffers {
--- a/src/constants/protocol.ts
+++ b/src/constants/protocol.ts
@@ -6,9 +6,6 @@
 /** Maximum number of tasks of a job. */
 export const MAX_TASKS_PER_JOB = 100_000;
 
-/** Maximum number of characters in a name that a request contains. */
-export const MAX_NAME_CHARACTERS = 200;
-
 /** The fields that hold counts, in messages and in stored records. */
 export const COUNT_FIELDS: ReadonlySet<string> = new Set([
   ...['Tenure', 'Tick', 'Fence', 'Try'],
--- a/src/constants/store.ts
+++ b/src/constants/store.ts
@@ -85,6 +85,9 @@
 /** Maximum size of a transaction, bytes: the store accepts 64 KiB in total, of which some is left for the envelope. */
 export const MAX_TRANSACTION_BYTES = 60_000;
 
+/** Maximum length of a key, bytes: the store's limit. */
+export const MAX_KEY_BYTES = 200;
+
 /** Maximum ms between checks whether a waiting request can be granted its tokens. */
 export const RATE_CHECK_PERIOD_MS = 25;
 
--- a/src/constants/worker-report.ts
+++ b/src/constants/worker-report.ts
@@ -1,5 +1,5 @@
 /** Sizes of the reports in which workers name all tasks on their machine. */
-import { MAX_MESSAGE_BYTES, MAX_NAME_CHARACTERS } from './protocol.js';
+import { MAX_MESSAGE_BYTES } from './protocol.js';
 
 /** A report without tasks and without the machine's names; all other fields are as long as possible. */
 const LONGEST_EMPTY_REPORT =
@@ -13,6 +13,9 @@
 /** The machine's id, endpoint, type and zone. */
 const NAMES_IN_REPORT = 4;
 
+/** Characters in a name for which there is space; the protocol has no limit for names. */
+export const MAX_NAME_CHARACTERS = 200;
+
 /** A character that JSON escapes, as in `\u00e9`. */
 const MAX_CHARACTER_BYTES = 6;
 
--- a/src/gossip/machine-update-content.ts
+++ b/src/gossip/machine-update-content.ts
@@ -1,5 +1,6 @@
 /** Derives from a machine update the text that is compared before sending, and an upper bound of its size. */
 import { MACHINE_UPDATE_BYTES } from '../constants/gossip.js';
+import { escapeSpaces } from '../domain/escape-spaces.js';
 import type { MachineUpdate } from './messages.js';
 
 /** The content of a machine update without the fields that every heartbeat changes. The update is not resent while it stays equal. */
@@ -7,8 +8,8 @@
   const { endpoint, machineType, zone, agentEpoch, partitionLeader, images, failedJobs } = machine;
   const { isSpot, isQuarantined, isBackingOff, isUnreached, isSlow, isMute } = machine;
   const flags = [isSpot, isQuarantined, isBackingOff, isUnreached, isSlow, isMute].map(Number).join('');
-  const fields = [endpoint, machineType, zone, agentEpoch, flags, partitionLeader, ...images, '', ...failedJobs];
-  return fields.join(' ');
+  const names = [endpoint, machineType, zone, partitionLeader, ...images, '', ...failedJobs];
+  return [flags, agentEpoch, ...names.map(escapeSpaces)].join(' ');
 }
 
 /** A safe upper bound for the encoded size of a machine update. */
--- a/src/records/record-keys.ts
+++ b/src/records/record-keys.ts
@@ -2,6 +2,7 @@
  * Keys of the records in the store. All records that can still change are under `live/`, so that one ordered watch keeps a
  * replica of them up to date; final records are under `ended/` and never change.
  */
+import { keyOfEncodedName, keyOfName } from './name-keys.js';
 
 /** Prefix of the records that the replica holds. */
 export const LIVE_PREFIX = 'live/';
@@ -23,12 +24,11 @@
   `${jobPlacementPrefix(jobId)}${String(chunkIndex).padStart(CHUNK_INDEX_DIGITS, '0')}`;
 
 /** Recorded usage of a team. */
-export const teamKey = (team: string): string => `${LIVE_PREFIX}team/${team}`;
+export const teamKey = (team: string): string => keyOfName(`${LIVE_PREFIX}team`, team);
 
 /** Machine types of the cloud's catalog. */
 export const MACHINE_TYPE_PREFIX = `${LIVE_PREFIX}flavor/`;
-export const machineTypeKey = (machineType: string): string =>
-  `${MACHINE_TYPE_PREFIX}${encodeURIComponent(machineType)}`;
+export const machineTypeKey = (machineType: string): string => keyOfEncodedName(MACHINE_TYPE_PREFIX, machineType);
 
 /** Requests to rent machines. */
 export const RENTAL_PREFIX = `${LIVE_PREFIX}hire/`;
@@ -39,9 +39,9 @@
 export const finalJobKey = (jobId: string): string => `${FINAL_JOB_PREFIX}${jobId}`;
 
 /** Announces that the node's process reads the current record format; attached to the process's store lease. */
-export const formatKey = (node: string): string => `${LIVE_PREFIX}format/node/${node}`;
+export const formatKey = (node: string): string => keyOfName(`${LIVE_PREFIX}format/node`, node);
 /** Exists once all controllers have announced in one transaction that they read the current record format; never deleted. */
 export const FORMAT_COMPLETE_KEY = `${LIVE_PREFIX}format/complete`;
 
 /** Announces that the node's process reads the warm standby's stream; attached to the process's store lease. */
-export const standbyKey = (node: string): string => `${LIVE_PREFIX}standby/${node}`;
+export const standbyKey = (node: string): string => keyOfName(`${LIVE_PREFIX}standby`, node);
--- a/src/scheduling/candidate-machines.ts
+++ b/src/scheduling/candidate-machines.ts
@@ -69,7 +69,7 @@
   }
 
   private groupOf(spec: JobSpec): RequirementGroup {
-    const key = `${spec.machineTypes?.join(',') ?? '*'} ${spec.zone ?? '*'} ${spec.allowsSpot}`;
+    const key = JSON.stringify([spec.machineTypes, spec.zone, spec.allowsSpot]);
     const existing = this.groups.get(key);
     if (existing !== undefined) return existing;
     const allowed = new CandidateMachines(this.machines.filter((machine) => isAllowedOn(spec, machine)));
--- a/src/scheduling/decisions/eviction-options.ts
+++ b/src/scheduling/decisions/eviction-options.ts
@@ -56,13 +56,13 @@
 
 /** Jobs with the same key have the same priority and machine requirements; cached images are not compared. */
 export const requirementKeyOf = (spec: JobSpec): string =>
-  [
+  JSON.stringify([
     spec.priority,
     spec.cpus,
     spec.gpus,
     spec.memoryGb,
     spec.reportBytes,
-    spec.machineTypes?.join(',') ?? '*',
-    spec.zone ?? '*',
+    spec.machineTypes,
+    spec.zone,
     spec.allowsSpot,
-  ].join(' ');
+  ]);
--- a/src/workers/worker-wire-codec.ts
+++ b/src/workers/worker-wire-codec.ts
@@ -1,10 +1,9 @@
 /**
  * The protocol between workers and controllers: the wire form, which is encoded and decoded only here, and the types
- * that the rest of the program uses. Lengths of texts are in characters.
+ * that the rest of the program uses.
  */
 import * as v from 'valibot';
 
-import { MAX_NAME_CHARACTERS } from '../constants/protocol.js';
 import { type Count, toCount } from '../domain/count.js';
 import type { MachineIdentity } from '../domain/machine-state.js';
 
@@ -14,7 +13,7 @@
   v.transform(toCount),
   v.custom<Count>((value) => value !== undefined),
 );
-const nonEmptyText = v.pipe(v.string(), v.minLength(1), v.maxLength(MAX_NAME_CHARACTERS));
+const nonEmptyText = v.pipe(v.string(), v.minLength(1));
 
 const WireTaskSchema = v.object({
   Shard: nonEmptyText,
--- a/test/domain/worker-report.test.ts
+++ b/test/domain/worker-report.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import { MAX_MESSAGE_BYTES, MAX_NAME_CHARACTERS, MAX_TASKS_PER_JOB } from '../../src/constants/protocol.js';
-import { MAX_REPORTED_TASKS_BYTES } from '../../src/constants/worker-report.js';
+import { MAX_MESSAGE_BYTES, MAX_TASKS_PER_JOB } from '../../src/constants/protocol.js';
+import { MAX_NAME_CHARACTERS, MAX_REPORTED_TASKS_BYTES } from '../../src/constants/worker-report.js';
 import { maxReportedTaskBytes, reportedTaskBytes } from '../../src/domain/worker-report.js';
 
 const PHASES = ['fetching', 'waiting', 'running', 'flushing', 'exited'];
--- a/testing/fake-store.ts
+++ b/testing/fake-store.ts
@@ -18,6 +18,8 @@
 /** Period at which an open watch checks whether the outage has ended. */
 const OUTAGE_POLL_MS = 50;
 const CONDITIONS_PER_WRITE = 4;
+const MAX_KEY_BYTES = 200;
+const SPACE_IN_KEY = /[\s\p{White_Space}]/u;
 const TOO_MANY: HttpResponse = { status: 429, body: { error: 'too many' } };
 
 interface StoredValue {
@@ -55,6 +57,10 @@
 
 type RequestOf<K extends StoreRequest['kind']> = Extract<StoreRequest, { kind: K }>;
 
+/** Whether the text is a key: 1 to 200 bytes without spaces. */
+const isKey = (text: string): boolean =>
+  text !== '' && !SPACE_IN_KEY.test(text) && Buffer.byteLength(text) <= MAX_KEY_BYTES;
+
 const bytesOf = (each: StoreOperation): number =>
   each.kind === 'delete' || each.value === undefined ? 0 : Buffer.byteLength(JSON.stringify(each.value));
 
@@ -159,6 +165,8 @@
 
   private transact(transaction: StoreTransaction): HttpResponse {
     const { conditions, operations } = transaction;
+    if (![...conditions, ...operations].every(({ key }) => isKey(key)))
+      return { status: 400, body: { error: 'malformed key' } };
     const refusal = this.refusalByLimits(transaction);
     if (refusal !== undefined) return refusal;
     const leaseIds = operations.map((each) => (each.kind === 'put' ? each.leaseId : undefined));
