Pause between two requests with the commands of one machine

Kills are repeated until the worker reports their effect; if they don't fit into one request, the next one followed within some milliseconds. Only machines over the bound of reports can have so many.

--- a/src/constants/workers.ts
+++ b/src/constants/workers.ts
@@ -45,6 +45,9 @@
 /** Size of a message to a worker without its commands, bytes: the fencing token, the agent epoch and the names of the fields. */
 const COMMANDS_ENVELOPE_BYTES = 512;
 
+/** ms between two requests to a worker if its commands don't fit into one: some are repeated until the worker reports their effect. */
+export const MORE_COMMANDS_DELAY_MS = 100;
+
 /** Maximum size of the commands in one message to a worker, bytes. */
 export const MAX_COMMANDS_BYTES = MAX_MESSAGE_BYTES - COMMANDS_ENVELOPE_BYTES;
 
--- a/src/workers/command-sender.ts
+++ b/src/workers/command-sender.ts
@@ -1,5 +1,5 @@
 import { DRAIN_CHECK_PERIOD_MS } from '../constants/leadership.js';
-import { COMMAND_BATCHING_MS, SILENT_AFTER_MISSED_HEARTBEATS } from '../constants/workers.js';
+import { COMMAND_BATCHING_MS, MORE_COMMANDS_DELAY_MS, SILENT_AFTER_MISSED_HEARTBEATS } from '../constants/workers.js';
 import type { Count } from '../domain/count.js';
 import type { WorkerTimings } from '../domain/settings.js';
 import type { HeldLeadership, RoleLeadership } from '../leadership/role-leadership.js';
@@ -120,7 +120,8 @@
     // records what has been sent since, so no conclusion may be drawn from this result.
     if (workers.get(machineId) !== worker) return;
     this.applyResult(worker, { role, fencingToken, launches }, result);
-    if (wasChanged || hasMore) this.schedule(machineId);
+    if (wasChanged) this.schedule(machineId);
+    else if (hasMore) this.schedule(machineId, MORE_COMMANDS_DELAY_MS);
   }
 
   private commandsFor(worker: Worker, role: string, held: HeldLeadership): WorkerCommand[] {
